--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,160 @@
+// Package cloud is the client of the cloud that rents machines, within this
+// node's share of its request rate.
+package cloud
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"tulipshelf/internal/wire"
+)
+
+// Type is a machine type of the catalog.
+type Type struct {
+	Name      string   `cbor:"name"`
+	CPUs      float64  `cbor:"cpus"`
+	GPUs      float64  `cbor:"gpus"`
+	RAM       float64  `cbor:"ram_gb"`
+	FetchRate float64  `cbor:"pull_gb_per_s"`
+	Hourly    float64  `cbor:"hourly"`
+	SpotPrice float64  `cbor:"spot_price"`
+	BootS     float64  `cbor:"startup_s"`
+	Zones     []string `cbor:"depots"`
+}
+
+// Machine is one entry of the list of machines.
+type Machine struct {
+	Name   string  `cbor:"uid"`
+	Addr   string  `cbor:"endpoint"`
+	Type   string  `cbor:"build"`
+	Zone   string  `cbor:"depot"`
+	Spot   bool    `cbor:"loaners"`
+	Status string  `cbor:"status"`
+	AgeS   float64 `cbor:"held_s"`
+}
+
+// Statuses of a listed machine.
+const (
+	Starting = "starting"
+	Running  = "running"
+	Failed   = "failed"
+)
+
+// Rental is a request for machines. Its name is never used for another one.
+type Rental struct {
+	Name  string `cbor:"hire"`
+	Type  string `cbor:"build"`
+	Zone  string `cbor:"depot"`
+	Spot  bool   `cbor:"loaners"`
+	Count int    `cbor:"number"`
+}
+
+// Limits of the protocol.
+const (
+	MaxRent   = 50
+	MaxReturn = 100
+	maxList   = 500
+)
+
+// ErrNoCapacity says that no machine of this type, zone and kind is to be had.
+var ErrNoCapacity = errors.New("cloud: no capacity")
+
+// Client talks to the cloud.
+type Client struct {
+	http  *wire.Client
+	limit *rate.Limiter
+}
+
+// timeout bounds one request; carrying out a return may take longer than an
+// ordinary answer.
+const timeout = 4 * time.Second
+
+// New returns a client that makes at most rps requests a second.
+func New(addr string, rps float64) *Client {
+	return &Client{http: &wire.Client{Addr: addr, Limit: 4 << 20}, limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
+}
+
+// Catalog returns the machine types with their current prices.
+func (c *Client) Catalog(ctx context.Context) ([]Type, error) {
+	var out struct {
+		Types []Type `cbor:"builds"`
+	}
+	err := c.do(ctx, "GET", "/catalog", nil, &out)
+	return out.Types, err
+}
+
+// Rent asks for machines and returns the names of those rented. After an error
+// other than ErrNoCapacity it may or may not have been carried out: only the
+// same request, sent again, tells.
+func (c *Client) Rent(ctx context.Context, r Rental) ([]string, error) {
+	var out struct {
+		Machines []string `cbor:"shelves"`
+	}
+	err := c.do(ctx, "POST", "/rentals", wire.Marshal(r), &out)
+	return out.Machines, err
+}
+
+// Return gives machines back. After success they and all on them are gone.
+func (c *Client) Return(ctx context.Context, names []string) error {
+	return c.do(ctx, "POST", "/rentals/return", wire.Marshal(map[string][]string{"shelves": names}), nil)
+}
+
+// List returns all machines, as they were some seconds ago.
+func (c *Client) List(ctx context.Context) ([]Machine, error) {
+	var all []Machine
+	after := ""
+	for {
+		var page struct {
+			Machines []Machine `cbor:"shelves"`
+			More     bool      `cbor:"has_next"`
+		}
+		q := "/rentals?limit=" + strconv.Itoa(maxList)
+		if after != "" {
+			q += "&after=" + after
+		}
+		if err := c.do(ctx, "GET", q, nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Machines...)
+		if !page.More || len(page.Machines) == 0 {
+			return all, nil
+		}
+		after = page.Machines[len(page.Machines)-1].Name
+	}
+}
+
+func (c *Client) do(ctx context.Context, method, target string, body []byte, out any) error {
+	if err := c.limit.Wait(ctx); err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := c.http.Do(ctx, method, target, body)
+	if err != nil {
+		c.http.CloseIdle()
+		return fmt.Errorf("cloud: %w", err)
+	}
+	if resp.Status == 503 {
+		var e struct {
+			Error string `cbor:"error"`
+		}
+		if wire.Unmarshal(resp.Body, &e) == nil && e.Error == "no capacity" {
+			return ErrNoCapacity
+		}
+	}
+	if resp.Status != 200 {
+		return fmt.Errorf("cloud: %s %s: status %d", method, target, resp.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := wire.Unmarshal(resp.Body, out); err != nil {
+		return fmt.Errorf("cloud: %s %s: %w", method, target, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,248 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"time"
+)
+
+// Settings is what the platform hands over to one controller.
+type Settings struct {
+	Node        string
+	Zone        string
+	Listen      string
+	PeerListen  string
+	Peers       []Peer
+	CloudAddr   string
+	StateAddr   string
+	Controllers int
+	Zones       []string
+	Teams       []Team
+	Objectives  []Objective
+	Workers     Workers
+	State       State
+	Cloud       Cloud
+	Resources   Resources
+	ClockBound  time.Duration
+}
+
+// Peer is another controller.
+type Peer struct{ Node, Zone, Addr string }
+
+// Team has a guarantee and a limit on each of CPUs and GPUs.
+type Team struct {
+	Name                         string
+	CPUs, CPUsMax, GPUs, GPUsMax float64
+}
+
+// Objective restates one aim at start or at finish.
+type Objective struct {
+	Kind   string
+	Class  string
+	Within time.Duration
+	Share  float64
+	Times  float64
+}
+
+// KindWait is the kind of the objectives at start.
+const KindWait = "wait"
+
+// Workers holds the workers' fixed intervals.
+type Workers struct{ Report, Lease, Cancel time.Duration }
+
+// State holds the limits of the state service.
+type State struct {
+	RPS, WriteRPS float64
+	ValueBytes    int
+	TxnOps        int
+}
+
+// Cloud holds the limits of the cloud.
+type Cloud struct {
+	RPS     float64
+	ListLag time.Duration
+}
+
+// Resources holds what this process may use.
+type Resources struct {
+	CPUShare   float64
+	MemBytes   int64
+	MaxSockets int
+}
+
+// ReadSettings reads and checks the settings file. The error joins one error
+// for each fault, each naming the field.
+func ReadSettings(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	s, err := ParseSettings(data)
+	if err != nil {
+		return nil, prefixEach(path, err)
+	}
+	return s, nil
+}
+
+// prefixEach puts the file's name before each of the joined errors.
+func prefixEach(path string, err error) error {
+	var out []error
+	if j, ok := err.(interface{ Unwrap() []error }); ok {
+		for _, e := range j.Unwrap() {
+			out = append(out, fmt.Errorf("%s: %w", path, e))
+		}
+		return errors.Join(out...)
+	}
+	return fmt.Errorf("%s: %w", path, err)
+}
+
+// ParseSettings checks the settings in data.
+func ParseSettings(data []byte) (*Settings, error) {
+	var top map[string]any
+	if err := json.Unmarshal(data, &top); err != nil {
+		return nil, errors.Join(fmt.Errorf("not a JSON object: %w", err))
+	}
+	r := &reader{}
+	root := object{r, "", top}
+	params := root.object("params")
+	endpoints := root.object("endpoints")
+	s := &Settings{
+		Node:        root.text("node_name"),
+		Zone:        root.text("site"),
+		Listen:      root.addr("listen"),
+		PeerListen:  root.addr("peer_listen"),
+		CloudAddr:   endpoints.addr("cloud"),
+		StateAddr:   endpoints.addr("state"),
+		Controllers: int(params.number("initial_size", 1, 1000)),
+		ClockBound:  time.Duration(params.number("time_bound_ms", 0, 1e6) * float64(time.Millisecond)),
+	}
+	for _, p := range root.list("peers") {
+		s.Peers = append(s.Peers, Peer{p.text("node_name"), p.text("site"), p.addr("endpoint")})
+	}
+	for i, v := range params.values("zones") {
+		z, ok := v.(string)
+		if !ok || z == "" {
+			r.fault(fmt.Sprintf("params.zones[%d]", i), "must be a text")
+		}
+		s.Zones = append(s.Zones, z)
+	}
+	seen := map[string]bool{}
+	for _, t := range params.list("teams") {
+		team := Team{t.text("name"), t.number("cpus", 0, 1e9), t.number("cpus_max", 0, 1e9),
+			t.optional("gpus", 0, 1e9), t.optional("gpus_max", 0, 1e9)}
+		if seen[team.Name] {
+			r.fault(t.path+"name", "names a team twice")
+		}
+		seen[team.Name] = true
+		s.Teams = append(s.Teams, team)
+	}
+	for _, o := range params.list("objectives") {
+		class, _ := o.fields["class"].(string)
+		s.Objectives = append(s.Objectives, Objective{o.text("kind"), class,
+			seconds(o.optional("within_s", 0, 1e6)), o.optional("share", 0, 1), o.optional("times", 0, 1e3)})
+	}
+	w := params.object("workers")
+	s.Workers = Workers{seconds(w.number("report_s", 0.01, 1e4)), seconds(w.number("lease_s", 0.01, 1e5)),
+		seconds(w.number("cancel_s", 0.01, 1e5))}
+	st := params.object("state")
+	s.State = State{st.number("rps", 1, 1e9), st.number("write_rps", 1, 1e9),
+		int(st.number("value_kb", 1, 1024) * 1024), int(st.number("txn_ops", 3, 1e4))}
+	c := params.object("cloud")
+	s.Cloud = Cloud{c.number("rps", 0.01, 1e6), seconds(c.number("list_lag_s", 0, 1e4))}
+	res := params.object("resources")
+	s.Resources = Resources{res.number("cpu_share", 0.001, 1e4), int64(res.number("mem_mb", 16, 1e7) * (1 << 20)),
+		int(res.number("max_sockets", 32, 1e7))}
+	if err := errors.Join(r.errs...); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func seconds(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
+
+// reader gathers the faults of a whole file.
+type reader struct{ errs []error }
+
+func (r *reader) fault(field, format string, args ...any) {
+	r.errs = append(r.errs, fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
+}
+
+// object is one JSON object with the path that leads to it.
+type object struct {
+	r      *reader
+	path   string
+	fields map[string]any
+}
+
+func (o object) object(name string) object {
+	m, ok := o.fields[name].(map[string]any)
+	if !ok {
+		o.r.fault(o.path+name, "must be an object")
+		return object{&reader{}, "", nil} // its fields are not named one by one
+	}
+	return object{o.r, o.path + name + ".", m}
+}
+
+func (o object) values(name string) []any {
+	l, ok := o.fields[name].([]any)
+	if !ok {
+		o.r.fault(o.path+name, "must be a list")
+	}
+	return l
+}
+
+func (o object) list(name string) []object {
+	var out []object
+	for i, v := range o.values(name) {
+		path := fmt.Sprintf("%s%s[%d]", o.path, name, i)
+		m, ok := v.(map[string]any)
+		if !ok {
+			o.r.fault(path, "must be an object")
+			continue
+		}
+		out = append(out, object{o.r, path + ".", m})
+	}
+	return out
+}
+
+func (o object) text(name string) string {
+	s, ok := o.fields[name].(string)
+	if !ok || s == "" {
+		o.r.fault(o.path+name, "must be a text that is not empty")
+	}
+	return s
+}
+
+func (o object) addr(name string) string {
+	s := o.text(name)
+	if s == "" {
+		return s
+	}
+	if a, err := netip.ParseAddrPort(s); err != nil || !a.Addr().Is4() {
+		o.r.fault(o.path+name, "%q must be an IPv4 address and port", s)
+	}
+	return s
+}
+
+func (o object) number(name string, least, most float64) float64 {
+	f, ok := o.fields[name].(float64)
+	if !ok {
+		o.r.fault(o.path+name, "must be a number")
+		return least
+	}
+	if math.IsNaN(f) || f < least || f > most {
+		o.r.fault(o.path+name, "%v is not between %v and %v", f, least, most)
+	}
+	return f
+}
+
+func (o object) optional(name string, least, most float64) float64 {
+	if o.fields[name] == nil {
+		return 0
+	}
+	return o.number(name, least, most)
+}
--- /dev/null
+++ b/internal/controller/node.go
@@ -0,0 +1,180 @@
+// Package controller puts the slices together: one node with its servers and
+// its candidacy, and, while it leads, the loop that owns jobs and machines.
+package controller
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tulipshelf/internal/cloud"
+	"tulipshelf/internal/config"
+	"tulipshelf/internal/fleet"
+	"tulipshelf/internal/intake"
+	"tulipshelf/internal/leadership"
+	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/statestore"
+	"tulipshelf/internal/wire"
+)
+
+// Node is one controller.
+type Node struct {
+	settings  *config.Settings
+	operator  config.Operator
+	store     *statestore.Client
+	cloud     *cloud.Client
+	candidate *leadership.Candidate
+	intake    *intake.Intake
+	types     atomic.Pointer[[]cloud.Type]
+	lead      atomic.Pointer[lead]
+}
+
+// nodeShare is the part of the region's request rates that one node may use.
+// The parts overlap, since the leader needs most and any node may lead; where
+// two need much at once the service's own 429 decides.
+const nodeShare = 0.6
+
+// New returns a node that has not been started.
+func New(s *config.Settings, o config.Operator) *Node {
+	n := &Node{
+		settings: s,
+		operator: o,
+		store:    statestore.New(s.StateAddr, s.State.RPS*nodeShare, s.State.WriteRPS*nodeShare),
+		cloud:    cloud.New(s.CloudAddr, s.Cloud.RPS*nodeShare),
+	}
+	n.candidate = &leadership.Candidate{Node: s.Node, TTL: o.LeaderLease, Store: n.store}
+	n.intake = &intake.Intake{
+		Store:     n.store,
+		Teams:     s.Teams,
+		ChunkSize: ledger.ChunkSize(s.State.ValueBytes),
+		Types: func() []cloud.Type {
+			if t := n.types.Load(); t != nil {
+				return *t
+			}
+			return nil
+		},
+		Changed: func(string) {},
+	}
+	return n
+}
+
+// Run serves until ctx ends or a listener cannot be opened.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	errs := make(chan error, 1)
+	run := func(f func(context.Context)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(ctx)
+		}()
+	}
+	server := &wire.Server{
+		Addr:        n.settings.Listen,
+		MaxConns:    n.settings.Resources.MaxSockets * 3 / 4,
+		IdleTimeout: 60 * time.Second,
+		ReadTimeout: 10 * time.Second,
+		Handler:     n.serve,
+	}
+	run(func(ctx context.Context) {
+		if err := server.Run(ctx); err != nil {
+			errs <- err
+		}
+	})
+	run(n.keepCatalog)
+	run(func(ctx context.Context) { n.candidate.Run(ctx, n.reign) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-errs:
+	}
+	cancel()
+	wg.Wait()
+	return err
+}
+
+// keepCatalog reads the machine types until they are known, and then now and
+// again for the prices.
+func (n *Node) keepCatalog(ctx context.Context) {
+	for {
+		wait := time.Second
+		types, err := n.cloud.Catalog(ctx)
+		switch {
+		case err != nil:
+			slog.Debug("catalog not read", "err", err)
+		case len(types) > 0:
+			n.types.Store(&types)
+			wait = time.Minute
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (n *Node) reign(ctx context.Context, r *leadership.Reign) {
+	l := newLead(n, r)
+	n.lead.Store(l)
+	defer n.lead.CompareAndSwap(l, nil)
+	if err := l.run(ctx); err != nil && ctx.Err() == nil {
+		slog.Error("reign ended", "term", r.Term(), "err", err)
+		r.Resign(context.WithoutCancel(ctx))
+	}
+}
+
+func (n *Node) serve(ctx context.Context, req *wire.Request) wire.Response {
+	switch {
+	case req.Path == "/ready":
+		if req.Method != "GET" {
+			return wire.Response{Status: 405}
+		}
+		if n.types.Load() == nil || !n.store.Served(4*time.Second) {
+			return wire.Response{Status: 503, RetryAfter: 1}
+		}
+		return wire.Response{Status: 200}
+	case req.Path == "/v1/report":
+		if req.Method != "POST" {
+			return wire.Response{Status: 405}
+		}
+		return n.report(ctx, req.Body)
+	case req.Path == "/v1/jobs" || strings.HasPrefix(req.Path, "/v1/jobs/"):
+		return n.intake.Serve(ctx, req)
+	}
+	return wire.Response{Status: 404}
+}
+
+// redirect sends a worker to the leader, if another node is known to lead.
+func (n *Node) redirect() wire.Response {
+	leader, _ := n.candidate.Leader()
+	if leader == "" || leader == n.settings.Node {
+		return wire.Response{Status: 421, Body: wire.Marshal(map[string]any{})}
+	}
+	return wire.Response{Status: 421, Body: wire.Marshal(map[string]string{"foreman": leader})}
+}
+
+func (n *Node) report(ctx context.Context, body []byte) wire.Response {
+	var r fleet.Report
+	if err := wire.Unmarshal(body, &r); err != nil || r.Machine == "" || r.Session == 0 {
+		return wire.Response{Status: 400, Body: wire.Marshal(map[string]string{"error": fmt.Sprint("malformed report: ", err)})}
+	}
+	l := n.lead.Load()
+	if l == nil {
+		return n.redirect()
+	}
+	resp := wire.Response{Status: 503, RetryAfter: 1}
+	if !l.call(ctx, func() { resp = l.onReport(&r) }) {
+		return wire.Response{Status: 503, RetryAfter: 1}
+	}
+	if resp.Status == 421 {
+		return n.redirect()
+	}
+	return resp
+}
--- /dev/null
+++ b/internal/controller/rent.go
@@ -0,0 +1,347 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	"tulipshelf/internal/cloud"
+	"tulipshelf/internal/config"
+	"tulipshelf/internal/fleet"
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/rental"
+)
+
+const (
+	refusalPause = 20 * time.Second // a pool that refused is left alone for so long
+	bootPatience = 4                // times the usual boot time, after which a machine is given up
+	maxDeadShare = 3                // one in so many silent machines at once: rather our own network
+	cancelLeeway = 0.55             // share of the cancellation time after which a machine is given up
+)
+
+// retire decides which machines are given up for what time has shown.
+func (l *lead) retire(now time.Time) {
+	if !l.reign.Valid() || !l.ready(now) {
+		return
+	}
+	op := &l.n.operator
+	known, silent := 0, 0
+	quiet := func(m *fleet.Machine) time.Duration {
+		since := l.started
+		if m.Known {
+			since = m.Heard
+		}
+		return now.Sub(since)
+	}
+	l.fleet.Each(func(m *fleet.Machine) {
+		if m.Known || len(m.Holds) > 0 {
+			known++
+			if quiet(m) >= op.Silent {
+				silent++
+			}
+		}
+	})
+	cut := silent > 2 && silent*maxDeadShare > known
+	l.fleet.Each(func(m *fleet.Machine) {
+		why := ""
+		switch {
+		case m.Retire != "":
+		case m.Failed:
+			why = "failed"
+		case m.Sick:
+			why = "faulty"
+		case !m.Known && len(m.Holds) == 0 && now.Sub(m.Created) > l.bootLimit(m):
+			why = "never came up"
+		case (m.Known || len(m.Holds) > 0) && quiet(m) >= op.Abandon && !cut:
+			why = "silent"
+		case !m.Recall.IsZero() && now.After(m.Recall) && quiet(m) >= op.Silent:
+			why = "taken back"
+		case l.overdueCancel(m, now):
+			why = "holds a cancelled task that cannot be stopped"
+		}
+		if why != "" {
+			m.Retire = why
+			slog.Info("machine given up", "machine", m.Name, "why", why, "tasks", len(m.Holds))
+		}
+	})
+}
+
+func (l *lead) bootLimit(m *fleet.Machine) time.Duration {
+	if m.Type < 0 {
+		return time.Minute
+	}
+	return time.Duration(bootPatience * l.types[m.Type].BootS * float64(time.Second))
+}
+
+func (l *lead) overdueCancel(m *fleet.Machine, now time.Time) bool {
+	limit := time.Duration(cancelLeeway * float64(l.n.settings.Workers.Cancel))
+	for _, h := range m.Holds {
+		if h.Job.Cancelled && now.Sub(h.Job.CancelledAt) > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// rent is the goroutine that talks to the cloud.
+func (l *lead) rent(ctx context.Context) {
+	var listed time.Time
+	var pending []cloud.Rental // asked for and not answered for certain
+	for ctx.Err() == nil {
+		if time.Since(listed) >= max(2*time.Second, l.n.settings.Cloud.ListLag/2) {
+			asked := time.Now()
+			list, err := l.n.cloud.List(ctx)
+			if err != nil {
+				slog.Debug("machines not listed", "err", err)
+			} else {
+				l.post(func() { l.onList(list, asked) })
+			}
+			listed = asked
+		}
+		var names []string
+		var asks []cloud.Rental
+		if l.call(ctx, func() { names, asks = l.decide(time.Now()) }) {
+			if len(names) > 0 {
+				if err := l.n.cloud.Return(ctx, names); err != nil {
+					slog.Info("machines not returned", "err", err)
+				} else {
+					l.post(func() { l.returned(names) })
+				}
+			}
+			pending = append(pending, asks...)
+		}
+		var again []cloud.Rental
+		for _, r := range pending {
+			got, err := l.n.cloud.Rent(ctx, r)
+			if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
+				slog.Info("rental not answered", "request", r.Name, "err", err)
+				again = append(again, r) // the same name, so that nothing is rented twice
+				continue
+			}
+			l.post(func() { l.rented(r, got) })
+		}
+		pending = again
+		sleep(ctx, 500*time.Millisecond)
+	}
+}
+
+func (l *lead) returned(names []string) {
+	now := time.Now()
+	for _, name := range names {
+		m := l.fleet.Machine(name)
+		for _, o := range l.fleet.Removed(name, now) {
+			l.outcome(m, o, now)
+		}
+		delete(l.index, m)
+		delete(l.pushers, name)
+	}
+	slog.Info("machines returned", "machines", names)
+}
+
+func (l *lead) rented(r cloud.Rental, names []string) {
+	now := time.Now()
+	delete(l.renting, r.Name)
+	p := pool{l.typeIndex[r.Type], l.zoneIndex[r.Zone], r.Spot}
+	if len(names) < r.Count {
+		l.blocked[p] = now.Add(refusalPause)
+	}
+	slog.Info("machines rented", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "machines", names)
+	for _, name := range names {
+		if l.fleet.Add(name, now) == nil {
+			continue
+		}
+		if m := l.machine(name, now); m.Type < 0 {
+			m.Type, m.Zone, m.Spot = p.typ, p.zone, p.spot
+		}
+	}
+}
+
+// onList takes a list of machines. A machine that is missing from it proves
+// nothing by that, but a silent one that is missing is asked back, and the
+// answer to that does.
+func (l *lead) onList(list []cloud.Machine, asked time.Time) {
+	now := time.Now()
+	lag := 2*l.n.settings.Cloud.ListLag + 2*time.Second
+	in := make(map[string]bool, len(list))
+	for i := range list {
+		c := &list[i]
+		in[c.Name] = true
+		if l.fleet.Add(c.Name, now.Add(-time.Duration(c.AgeS*float64(time.Second)))) == nil {
+			continue
+		}
+		m := l.machine(c.Name, now)
+		if !m.Known {
+			m.Type, m.Zone = l.lookup(c.Type, c.Zone)
+			m.Spot, m.Addr = c.Spot, c.Addr
+		}
+		m.Failed = c.Status == cloud.Failed
+	}
+	l.fleet.Each(func(m *fleet.Machine) {
+		heard := m.Created
+		if m.Known {
+			heard = m.Heard
+		}
+		if !in[m.Name] && m.Retire == "" && asked.Sub(heard) > lag && asked.Sub(m.Created) > lag {
+			m.Retire = "no longer listed"
+			slog.Info("machine given up", "machine", m.Name, "why", m.Retire, "tasks", len(m.Holds))
+		}
+	})
+}
+
+// decide returns the machines to return and the rentals to ask for.
+func (l *lead) decide(now time.Time) (names []string, asks []cloud.Rental) {
+	if !l.loaded || !l.reign.Valid() || !l.ready(now) {
+		return nil, nil
+	}
+	l.types = *l.n.types.Load()
+	var ms []*fleet.Machine
+	var machines []rental.Machine
+	l.fleet.Each(func(m *fleet.Machine) {
+		if m.Type < 0 || m.Zone < 0 || m.Retire != "" {
+			return
+		}
+		v := l.view(m, now)
+		ms = append(ms, m)
+		machines = append(machines, rental.Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: v.Free,
+			Usable: v.Open || !m.Known && !m.Failed,
+			Empty:  m.Known && len(m.Holds) == 0 && l.nothingUnsettled(m), Idle: now.Sub(m.IdleSince)})
+	})
+	var pools []rental.Pool
+	for t := range l.types {
+		for _, z := range l.types[t].Zones {
+			for _, spot := range []bool{true, false} {
+				price := l.types[t].Hourly
+				if spot {
+					price = l.types[t].SpotPrice
+				}
+				if spot && price <= 0 {
+					continue
+				}
+				zi := l.zoneIndex[z]
+				pools = append(pools, rental.Pool{Type: t, Zone: zi, Spot: spot, Price: price,
+					Blocked: now.Before(l.blocked[pool{t, zi, spot}]), Capacity: l.capacity(t)})
+			}
+		}
+	}
+	d := rental.Plan(l.demand(now), machines, pools, l.n.operator.IdleReturn)
+	for _, i := range d.Return {
+		m := ms[i]
+		m.Retire = "idle"
+		slog.Info("machine given up", "machine", m.Name, "why", "idle", "tasks", 0)
+	}
+	l.fleet.Each(func(m *fleet.Machine) {
+		if m.Retire != "" && len(names) < cloud.MaxReturn {
+			names = append(names, m.Name)
+		}
+	})
+	if len(l.renting) > 0 {
+		return names, nil // what is asked for is not in the list of machines yet
+	}
+	for _, r := range d.Rent {
+		p := pools[r.Pool]
+		ask := cloud.Rental{Name: l.rentalName(), Type: l.types[p.Type].Name, Zone: l.zones[p.Zone], Spot: p.Spot,
+			Count: min(r.Count, cloud.MaxRent)}
+		l.renting[ask.Name] = ask.Count
+		asks = append(asks, ask)
+	}
+	return names, asks
+}
+
+// nothingUnsettled tells whether all results on a machine are written.
+func (l *lead) nothingUnsettled(m *fleet.Machine) bool {
+	ok := true
+	m.Finished(func(task string) { ok = ok && l.settled(task) })
+	return ok
+}
+
+// demand returns the tasks that should get a machine soon, the most important
+// first, and behind them the reserve.
+func (l *lead) demand(now time.Time) []rental.Demand {
+	var jobs []*ledger.Job
+	used := l.teams()
+	l.book.Jobs(func(j *ledger.Job) {
+		if j.WaitingTasks() > 0 && l.jobs[j].team >= 0 {
+			jobs = append(jobs, j)
+		}
+	})
+	sort.Slice(jobs, func(x, y int) bool {
+		a, b := jobs[x], jobs[y]
+		if a.Spec.Rank() != b.Spec.Rank() {
+			return a.Spec.Rank() > b.Spec.Rank()
+		}
+		return a.Arrival < b.Arrival
+	})
+	var out []rental.Demand
+	for _, j := range jobs {
+		st := l.jobs[j]
+		team := &used[st.team]
+		n := min(j.WaitingTasks(), l.wanted(j, now))
+		if c := j.Spec.CPUs; c > 0 {
+			n = min(n, int((team.CPUsMax-team.CPUsUsed)/c+1e-6))
+		}
+		if g := j.Spec.GPUs; g > 0 {
+			n = min(n, int((team.GPUsMax-team.GPUsUsed)/g+1e-6))
+		}
+		if n <= 0 {
+			continue
+		}
+		team.CPUsUsed += float64(n) * j.Spec.CPUs
+		team.GPUsUsed += float64(n) * j.Spec.GPUs
+		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: st.zone, Spot: j.Spec.Spot, Tasks: n})
+	}
+	return append(out, l.reserve()...)
+}
+
+// wanted returns how many tasks of a job should run at once, beside those that
+// do, for it to end in time: all replicas of a service; of an array as many as
+// leave each machine time for several tasks in turn.
+func (l *lead) wanted(j *ledger.Job, now time.Time) int {
+	if j.Spec.Shape == job.Service {
+		return j.WaitingTasks()
+	}
+	run := math.Max(j.Spec.ExpectS, 1)
+	left := l.dueIn(j, now).Seconds()
+	turns := math.Max(1, math.Floor(left/(1.3*run)))
+	return int(math.Ceil(float64(j.WaitingTasks()+j.LiveTasks())/turns)) - j.LiveTasks()
+}
+
+// dueIn returns the time until a job should be complete, by its own deadline or
+// by its class's objective.
+func (l *lead) dueIn(j *ledger.Job, now time.Time) time.Duration {
+	due := time.Duration(j.Spec.DueS * float64(time.Second))
+	if due == 0 {
+		for _, o := range l.n.settings.Objectives {
+			if o.Class == j.Spec.Class && o.Within > 0 && (due == 0 || o.Within < due) && o.Kind != config.KindWait {
+				due = o.Within
+			}
+		}
+	}
+	if due == 0 {
+		due = 4 * j.Spec.Expect()
+	}
+	return max(0, due-now.Sub(j.At))
+}
+
+// reserve keeps room free for services to come, which start at once or miss
+// their aim: a share of what services use, in tasks of the largest size seen.
+func (l *lead) reserve() []rental.Demand {
+	var cpus float64
+	var typical *ledger.Job
+	l.book.Jobs(func(j *ledger.Job) {
+		if j.Spec.Shape == job.Service && !j.Cancelled {
+			cpus += float64(j.Spec.Tasks) * j.Spec.CPUs
+			if typical == nil || j.Spec.CPUs > typical.Spec.CPUs {
+				typical = j
+			}
+		}
+	})
+	if typical == nil || typical.Spec.CPUs <= 0 {
+		return nil
+	}
+	n := int(math.Ceil(cpus * l.n.operator.Reserve / typical.Spec.CPUs))
+	return []rental.Demand{{Need: l.jobs[typical].need, Types: l.jobs[typical].types, Zone: -1, Tasks: n}}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,375 @@
+// Package fleet keeps what is known of the workers: their sessions, what their
+// reports prove about attempts, and the commands that they are to get.
+package fleet
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"tulipshelf/internal/ledger"
+)
+
+// Report is a worker's report.
+type Report struct {
+	Machine string       `cbor:"shelf"`
+	Addr    string       `cbor:"endpoint"`
+	Type    string       `cbor:"build"`
+	Zone    string       `cbor:"depot"`
+	Spot    bool         `cbor:"loaners"`
+	Session uint64       `cbor:"shift"`
+	Tick    uint64       `cbor:"tick"`
+	Token   uint64       `cbor:"baton"`
+	RecallS *float64     `cbor:"recall_s"`
+	Tasks   []TaskReport `cbor:"tickets"`
+}
+
+// TaskReport is one attempt as a worker has it.
+type TaskReport struct {
+	Task   string `cbor:"ticket"`
+	Try    uint64 `cbor:"try"`
+	Status string `cbor:"status"`
+	Cause  string `cbor:"cause"`
+	Saved  bool   `cbor:"stored"`
+}
+
+// States and causes of the protocol that are acted on.
+const (
+	Pulling    = "pulling"
+	Running    = "running"
+	Saving     = "saving"
+	Exited     = "exited"
+	CauseDone  = "done"
+	CauseStop  = "stopped"
+	CauseError = "error"
+	CauseRoom  = "no_room"
+	CauseInUse = "in_use"
+	CauseNoJob = "unknown"
+	CauseLost  = "" // gone without an exit: session over, or never started
+)
+
+// Order is one command to a worker.
+type Order struct {
+	Verb     string   `cbor:"verb"`
+	Task     string   `cbor:"ticket"`
+	Try      uint64   `cbor:"try"`
+	WindDown *float64 `cbor:"wind_down_s,omitempty"`
+}
+
+// Commands is the body of a direct command.
+type Commands struct {
+	Token   uint64  `cbor:"baton"`
+	Session uint64  `cbor:"shift"`
+	Orders  []Order `cbor:"orders"`
+}
+
+// Answer is the body of the response to a report.
+type Answer struct {
+	Token  uint64  `cbor:"baton"`
+	Orders []Order `cbor:"orders"`
+}
+
+// key tells attempts apart; attempts are numbered across all tasks.
+type key struct {
+	task string
+	try  uint64
+}
+
+// Seen is what the newest report says of one attempt.
+type Seen struct {
+	Status string
+	Cause  string
+}
+
+// Hold is an attempt on a machine, from its start being decided until there is
+// proof that it is gone.
+type Hold struct {
+	*ledger.Attempt
+	Since    time.Time // decided, or found by a new leader
+	Running  time.Time // first reported running; zero: not yet
+	Sent     time.Time // last sent; zero: never by this leader
+	Stopping bool      // a halt is wanted
+	WindDown float64
+	Missing  int // newer reports in a row that do not list it
+}
+
+// Machine is one rented machine.
+type Machine struct {
+	Index   int // dense; that of a machine that is gone is given anew
+	Name    string
+	Addr    string
+	Type    int
+	Zone    int
+	Spot    bool
+	Known   bool // has reported to this leader
+	Session uint64
+	Tick    uint64
+	Token   uint64
+	Heard   time.Time // last report under this leader
+	Created time.Time // when this leader first knew of it
+	Recall  time.Time // when the cloud takes it away; zero: no notice
+	Seen    map[key]Seen
+	Holds   map[key]*Hold
+	Errors  int // failed attempts in a row
+	Sick    bool
+	Drain   bool // to be returned once empty
+	Pushing bool
+	Failed  bool   // the cloud lists it as failed
+	Retire  string // why it is being returned, empty: it is not
+	Gone    bool
+
+	IdleSince time.Time
+	urgent    bool // commands wait to be pushed
+}
+
+// Outcome is the proof that a hold has ended.
+type Outcome struct {
+	Hold  *Hold
+	Cause string
+}
+
+// Fleet is all machines that this leader knows.
+type Fleet struct {
+	byName map[string]*Machine
+	all    []*Machine
+	gone   map[string]time.Time
+}
+
+// New returns an empty fleet.
+func New() *Fleet {
+	return &Fleet{byName: map[string]*Machine{}, gone: map[string]time.Time{}}
+}
+
+// Machine returns the machine of that name, or nil.
+func (f *Fleet) Machine(name string) *Machine { return f.byName[name] }
+
+// At returns the machine with a dense index.
+func (f *Fleet) At(i int) *Machine { return f.all[i] }
+
+// Size returns one more than the largest dense index.
+func (f *Fleet) Size() int { return len(f.all) }
+
+// Each calls fn for each machine that is not gone, in order of index.
+func (f *Fleet) Each(fn func(*Machine)) {
+	for _, m := range f.all {
+		if !m.Gone {
+			fn(m)
+		}
+	}
+}
+
+// Add returns the machine of that name and makes it if it is new. A name that
+// was returned stays gone: names are never given twice, and lists lag.
+func (f *Fleet) Add(name string, now time.Time) *Machine {
+	if m := f.byName[name]; m != nil {
+		return m
+	}
+	if _, ok := f.gone[name]; ok {
+		return nil
+	}
+	i := 0
+	for i < len(f.all) && !f.all[i].Gone {
+		i++
+	}
+	m := &Machine{Index: i, Name: name, Created: now, IdleSince: now,
+		Seen: map[key]Seen{}, Holds: map[key]*Hold{}}
+	f.byName[name] = m
+	if i == len(f.all) {
+		f.all = append(f.all, m)
+	} else {
+		f.all[i] = m
+	}
+	return m
+}
+
+// Hold books an attempt on its machine.
+func (m *Machine) Hold(a *ledger.Attempt, now time.Time) *Hold {
+	h := &Hold{Attempt: a, Since: now}
+	m.Holds[key{a.Name(), a.Try}] = h
+	return h
+}
+
+// Release forgets an attempt that was never sent.
+func (m *Machine) Release(a *ledger.Attempt) { delete(m.Holds, key{a.Name(), a.Try}) }
+
+// HoldOf returns the hold of an attempt, or nil.
+func (m *Machine) HoldOf(a *ledger.Attempt) *Hold { return m.Holds[key{a.Name(), a.Try}] }
+
+// Foreign tells whether the machine reports a live attempt that is booked
+// nowhere: it takes room all the same.
+func (m *Machine) Foreign(fn func(task string)) {
+	for k, s := range m.Seen {
+		if s.Status != Exited && m.Holds[k] == nil {
+			fn(k.task)
+		}
+	}
+}
+
+// Retained returns how many exited attempts the worker still reports.
+func (m *Machine) Retained() int {
+	n := 0
+	for _, s := range m.Seen {
+		if s.Status == Exited {
+			n++
+		}
+	}
+	return n
+}
+
+// forgetGone is far beyond the time for which a list or a report of a machine
+// that is gone may still arrive.
+const forgetGone = 30 * time.Minute
+
+// Removed takes the cloud's word (200 to a return) that a machine and all on it
+// are gone.
+func (f *Fleet) Removed(name string, now time.Time) []Outcome {
+	f.gone[name] = now
+	for n, t := range f.gone {
+		if now.Sub(t) > forgetGone {
+			delete(f.gone, n)
+		}
+	}
+	m := f.byName[name]
+	if m == nil {
+		return nil
+	}
+	delete(f.byName, name)
+	m.Gone = true
+	var out []Outcome
+	for _, h := range m.sorted() {
+		out = append(out, Outcome{h, CauseLost})
+	}
+	m.Holds = nil
+	m.Seen = nil
+	return out
+}
+
+// sorted returns the holds in a fixed order, so that runs repeat.
+func (m *Machine) sorted() []*Hold {
+	out := make([]*Hold, 0, len(m.Holds))
+	for _, h := range m.Holds {
+		out = append(out, h)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Try < out[j].Try })
+	return out
+}
+
+// Handle takes a report and returns what it proves. It returns false for a
+// report that is older than one already taken.
+//
+// An attempt is proven gone by a newer session, by its exit, or by its absence
+// from a report of a worker that has seen a higher token than the attempt's:
+// such a worker executes no late copy of the start. Absence under the same
+// token proves nothing, since the start may still be on its way.
+func (m *Machine) Handle(r *Report, now time.Time) (out []Outcome, fresh bool) {
+	if r.Session < m.Session || r.Session == m.Session && r.Tick <= m.Tick {
+		return nil, false
+	}
+	m.Session, m.Tick, m.Token = r.Session, r.Tick, r.Token
+	m.Addr, m.Spot, m.Known, m.Heard = r.Addr, r.Spot, true, now
+	m.Recall = time.Time{}
+	if r.RecallS != nil {
+		m.Recall = now.Add(time.Duration(*r.RecallS * float64(time.Second)))
+	}
+	clear(m.Seen)
+	for _, t := range r.Tasks {
+		m.Seen[key{t.Task, t.Try}] = Seen{t.Status, t.Cause}
+	}
+	for _, h := range m.sorted() {
+		k := key{h.Name(), h.Try}
+		s, listed := m.Seen[k]
+		switch {
+		case h.Session < r.Session:
+			out = append(out, Outcome{h, CauseLost})
+		case listed && s.Status == Exited:
+			out = append(out, Outcome{h, s.Cause})
+		case listed:
+			h.Missing = 0
+			if s.Status != Pulling && h.Running.IsZero() {
+				h.Running = now
+			}
+			continue
+		case ledger.TryTerm(h.Try) < r.Token:
+			out = append(out, Outcome{h, CauseLost})
+		default:
+			h.Missing++
+			continue
+		}
+		delete(m.Holds, k)
+	}
+	return out, true
+}
+
+// Orders returns the commands that the machine needs under the given token, at
+// most limit, and marks starts as sent. Starts already listed are left out. An
+// exited task is only forgotten once settled says that its result is durable.
+func (m *Machine) Orders(token uint64, limit int, settled func(task string) bool, now time.Time) []Order {
+	m.urgent = false
+	var out []Order
+	for _, h := range m.sorted() {
+		if len(out) == limit {
+			m.urgent = true
+			return out
+		}
+		_, listed := m.Seen[key{h.Name(), h.Try}]
+		switch {
+		case h.Stopping && (listed || !h.Sent.IsZero()):
+			out = append(out, Order{"halt", h.Name(), h.Try, &h.WindDown})
+		case !listed && !h.Stopping && h.Recorded && h.Session == m.Session && ledger.TryTerm(h.Try) == token:
+			// A start recorded under an earlier token is never sent again: the
+			// worker's next reports prove it gone.
+			out = append(out, Order{Verb: "run", Task: h.Name(), Try: h.Try})
+			h.Sent = now
+		}
+	}
+	for k, s := range m.Seen {
+		if len(out) == limit {
+			break
+		}
+		if m.Holds[k] != nil {
+			continue
+		}
+		switch {
+		case s.Status != Exited:
+			// On the machine but in no book, so it must not be.
+			zero := 0.0
+			out = append(out, Order{"halt", k.task, k.try, &zero})
+		case ledger.TryTerm(k.try) < m.Token && settled(k.task):
+			// Only now can no late copy of its start run it again.
+			out = append(out, Order{Verb: "forget", Task: k.task, Try: k.try})
+		}
+	}
+	return out
+}
+
+// Stop asks for a hold to be halted.
+func (m *Machine) Stop(h *Hold, windDown float64) {
+	if h.Stopping && h.WindDown <= windDown {
+		return
+	}
+	h.Stopping, h.WindDown = true, windDown
+	m.urgent = true
+}
+
+// Kick marks the machine as having commands to push.
+func (m *Machine) Kick() { m.urgent = true }
+
+// Urgent tells whether commands wait that should not wait for a report.
+func (m *Machine) Urgent() bool { return m.urgent && m.Known && !m.Pushing && !m.Gone }
+
+// SplitTask takes apart the protocol's name of a task.
+func SplitTask(name string) (id string, task int, ok bool) {
+	id, n, found := strings.Cut(name, "/")
+	task, err := strconv.Atoi(n)
+	return id, task, found && err == nil && task >= 0
+}
+
+// Finished calls fn for each exited task that the worker still reports.
+func (m *Machine) Finished(fn func(task string)) {
+	for k, s := range m.Seen {
+		if s.Status == Exited {
+			fn(k.task)
+		}
+	}
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,328 @@
+// Package intake is the users' side of a controller: it takes submissions and
+// cancellations on any node, with or without a leader, and answers polls. What
+// it tells is durable in the state service before it is told.
+package intake
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"tulipshelf/internal/cloud"
+	"tulipshelf/internal/config"
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/statestore"
+	"tulipshelf/internal/wire"
+)
+
+// Intake answers users.
+type Intake struct {
+	Store     *statestore.Client
+	Teams     []config.Team
+	ChunkSize int
+	Types     func() []cloud.Type // nil while the catalog is unknown
+	Changed   func(id string)     // a job was submitted or cancelled here
+
+	mu    sync.Mutex
+	final map[string]string // final states told or read, bounded
+}
+
+// maxFinal bounds the cache of final states; any entry can be read again.
+const maxFinal = 20_000
+
+// Statuses told to users beside the final ones.
+const (
+	pending = "pending"
+	running = "running"
+)
+
+type status struct {
+	ID      string `cbor:"uid"`
+	Status  string `cbor:"status"`
+	Done    int    `cbor:"done"`
+	Running int    `cbor:"running"`
+}
+
+type brief struct {
+	ID     string `cbor:"uid"`
+	Status string `cbor:"status"`
+}
+
+type problem struct {
+	Error string `cbor:"error"`
+}
+
+func fail(code int, text string) wire.Response {
+	return wire.Response{Status: code, Body: wire.Marshal(problem{text})}
+}
+
+// later is the answer to whatever cannot be decided now: at once, with the time
+// to come back.
+func later() wire.Response { return wire.Response{Status: 503, RetryAfter: 1} }
+
+// Serve answers a request for a path under /v1/jobs.
+func (in *Intake) Serve(ctx context.Context, req *wire.Request) wire.Response {
+	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer cancel()
+	rest := strings.TrimPrefix(req.Path, "/v1/jobs")
+	if rest == "" {
+		if req.Method != "POST" {
+			return wire.Response{Status: 405}
+		}
+		return in.submit(ctx, req.Body)
+	}
+	id, abort := strings.CutSuffix(strings.TrimPrefix(rest, "/"), "/abort")
+	switch {
+	case !job.ValidID(id):
+		return fail(404, "no such job")
+	case abort && req.Method == "POST":
+		return in.abort(ctx, id)
+	case !abort && req.Method == "GET":
+		return in.poll(ctx, id)
+	}
+	return wire.Response{Status: 405}
+}
+
+func (in *Intake) submit(ctx context.Context, body []byte) wire.Response {
+	id, err := job.DecodeID(body)
+	if err != nil {
+		return fail(400, err.Error())
+	}
+	if s, ok := in.cached(id); ok {
+		return wire.Response{Status: 200, Body: wire.Marshal(brief{id, s})}
+	}
+	spec, refusal := in.check(body)
+	if refusal.Status != 0 {
+		slog.Debug("submission refused", "job", id, "status", refusal.Status, "why", refusal.Body)
+		// A job that is known is never refused, whatever this copy says.
+		st, err := in.lookup(ctx, id)
+		if err == nil {
+			return wire.Response{Status: 200, Body: wire.Marshal(brief{id, st.Status})}
+		}
+		if !errors.Is(err, statestore.ErrNotFound) {
+			return later()
+		}
+		return refusal
+	}
+	rec := ledger.Record{Spec: spec, AtMS: time.Now().UnixMilli(), Chunk: in.ChunkSize}
+	_, err = in.Store.Txn(ctx,
+		[]statestore.Cond{{Key: ledger.JobKey(id)}, {Key: ledger.EndKey(id)}},
+		[]statestore.Op{{Put: ledger.JobKey(id), Value: wire.Marshal(rec)}}, statestore.User)
+	var conflict *statestore.ConflictError
+	switch {
+	case err == nil:
+		in.Changed(id)
+		return wire.Response{Status: 201, Body: wire.Marshal(brief{id, pending})}
+	case errors.As(err, &conflict), errors.Is(err, statestore.ErrUnknown):
+		// Known already, or perhaps written just now: what stands decides.
+		if st, err := in.lookup(ctx, id); err == nil {
+			return wire.Response{Status: 200, Body: wire.Marshal(brief{id, st.Status})}
+		}
+	default:
+		slog.Debug("submission not written", "job", id, "err", err)
+	}
+	return later()
+}
+
+// check returns the checked submission or the answer that refuses it.
+func (in *Intake) check(body []byte) (*job.Spec, wire.Response) {
+	spec, err := job.Decode(body)
+	if err != nil {
+		return nil, fail(400, err.Error())
+	}
+	var team *config.Team
+	for i := range in.Teams {
+		if in.Teams[i].Name == spec.Team {
+			team = &in.Teams[i]
+		}
+	}
+	if team == nil {
+		return nil, fail(422, "unknown team")
+	}
+	tasks := 1.0
+	if spec.Shape == job.Service {
+		tasks = float64(spec.Tasks)
+	}
+	if spec.CPUs*tasks > team.CPUsMax+1e-6 || spec.GPUs*tasks > team.GPUsMax+1e-6 {
+		return nil, fail(422, "more than the team's limit")
+	}
+	types := in.Types()
+	if types == nil {
+		return nil, later()
+	}
+	var allowed []string
+	for i := range types {
+		if Allows(spec, &types[i]) {
+			allowed = append(allowed, types[i].Name)
+		}
+	}
+	if len(allowed) == 0 {
+		return nil, fail(422, "fits no allowed machine type")
+	}
+	if spec.Types != nil {
+		spec.Types = allowed
+	}
+	return spec, wire.Response{}
+}
+
+// Allows tells whether a task of the job can run on a machine type at all.
+func Allows(s *job.Spec, t *cloud.Type) bool {
+	if s.CPUs > t.CPUs || s.GPUs > t.GPUs || s.RAM > t.RAM {
+		return false
+	}
+	in := func(list []string, name string) bool {
+		for _, n := range list {
+			if n == name {
+				return true
+			}
+		}
+		return false
+	}
+	return (s.Types == nil || in(s.Types, t.Name)) && (s.Zone == "" || in(t.Zones, s.Zone))
+}
+
+func (in *Intake) poll(ctx context.Context, id string) wire.Response {
+	if s, ok := in.cached(id); ok {
+		return wire.Response{Status: 200, Body: wire.Marshal(brief{id, s})}
+	}
+	st, err := in.lookup(ctx, id)
+	switch {
+	case err == nil:
+		return wire.Response{Status: 200, Body: wire.Marshal(st)}
+	case errors.Is(err, statestore.ErrNotFound):
+		return fail(404, "no such job")
+	}
+	return later()
+}
+
+// lookup reads a job's state. Both reads are linearizable, and the unfinished
+// job is read first: a job that ends in between is found by the second.
+func (in *Intake) lookup(ctx context.Context, id string) (status, error) {
+	st := status{ID: id, Status: pending}
+	page, err := in.Store.List(ctx, ledger.JobKey(id), "", 1000, statestore.User)
+	if err != nil {
+		return st, err
+	}
+	found := false
+	for _, it := range page.Items {
+		key, chunk, ok := ledger.SplitKey(it.Key)
+		if !ok || key != id {
+			continue
+		}
+		if chunk < 0 {
+			rec, err := ledger.DecodeRecord(it.Value)
+			if err != nil {
+				return st, err
+			}
+			found = true
+			if rec.CancelledMS != 0 {
+				in.Finished(id, ledger.Cancelled)
+				st.Status = ledger.Cancelled
+				return st, nil
+			}
+			continue
+		}
+		done, live, err := ledger.CountDone(it.Value)
+		if err != nil {
+			return st, err
+		}
+		st.Done += done
+		st.Running += live
+	}
+	if found {
+		if st.Running > 0 {
+			st.Status = running
+		}
+		return st, nil
+	}
+	it, err := in.Store.Get(ctx, ledger.EndKey(id), statestore.User)
+	if err != nil {
+		return st, err
+	}
+	var end ledger.Final
+	if err := wire.Unmarshal(it.Value, &end); err != nil {
+		return st, err
+	}
+	in.Finished(id, end.Status)
+	st.Status, st.Running = end.Status, 0
+	if end.Status == ledger.Done {
+		st.Done = end.Tasks
+	}
+	return st, nil
+}
+
+func (in *Intake) abort(ctx context.Context, id string) wire.Response {
+	answer := func(s string) wire.Response {
+		return wire.Response{Status: 200, Body: wire.Marshal(brief{id, s})}
+	}
+	if s, ok := in.cached(id); ok {
+		return answer(s)
+	}
+	for range 3 {
+		it, err := in.Store.Get(ctx, ledger.JobKey(id), statestore.User)
+		if errors.Is(err, statestore.ErrNotFound) {
+			st, err := in.lookup(ctx, id)
+			switch {
+			case errors.Is(err, statestore.ErrNotFound):
+				return fail(404, "no such job")
+			case err != nil || st.Status == pending || st.Status == running:
+				return later()
+			}
+			return answer(st.Status)
+		}
+		if err != nil {
+			return later()
+		}
+		rec, err := ledger.DecodeRecord(it.Value)
+		if err != nil {
+			slog.Error("job record unreadable", "job", id, "err", err)
+			return later()
+		}
+		if rec.CancelledMS == 0 {
+			rec.CancelledMS = time.Now().UnixMilli()
+			if rec.Arrival == 0 {
+				rec.Arrival = it.Rev
+			}
+			_, err = in.Store.Txn(ctx, []statestore.Cond{{Key: it.Key, Rev: it.Rev}},
+				[]statestore.Op{{Put: it.Key, Value: wire.Marshal(rec)}}, statestore.User)
+		}
+		var conflict *statestore.ConflictError
+		switch {
+		case err == nil:
+			in.Finished(id, ledger.Cancelled)
+			in.Changed(id)
+			return answer(ledger.Cancelled)
+		case errors.As(err, &conflict), errors.Is(err, statestore.ErrUnknown):
+			continue // read back what stands
+		}
+		return later()
+	}
+	return later()
+}
+
+func (in *Intake) cached(id string) (string, bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	s, ok := in.final[id]
+	return s, ok
+}
+
+// Finished notes a durable final state, so that later polls need no read.
+func (in *Intake) Finished(id, state string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.final == nil {
+		in.final = map[string]string{}
+	}
+	if len(in.final) >= maxFinal {
+		for k := range in.final {
+			delete(in.final, k)
+			break
+		}
+	}
+	in.final[id] = state
+}
--- /dev/null
+++ b/internal/leadership/leadership.go
@@ -0,0 +1,285 @@
+// Package leadership elects one controller by a leased key in the state
+// service. Every election, also of the same node, raises the term; the term is
+// the token that workers see and the condition of every write of a leader.
+package leadership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tulipshelf/internal/statestore"
+	"tulipshelf/internal/wire"
+)
+
+// Keys of this slice. They share a prefix so that one read gives both.
+const (
+	prefix    = "lead/"
+	holderKey = "lead/holder" // leased: who leads
+	TermKey   = "lead/term"   // persistent: the highest term given out
+)
+
+type holder struct {
+	Node  string `cbor:"node"`
+	Term  uint64 `cbor:"term"`
+	Lease uint64 `cbor:"lease"`
+}
+
+type termValue struct {
+	Term uint64 `cbor:"term"`
+}
+
+// drift is the bound on how fast a steady clock may run, doubled.
+const drift = 0.001
+
+// Reign is one time of being the leader.
+type Reign struct {
+	mu    sync.Mutex
+	term  uint64
+	rev   uint64
+	lease uint64
+	until time.Time
+	c     *Candidate
+}
+
+// Term returns the token of this reign.
+func (r *Reign) Term() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.term
+}
+
+// Fence returns the condition that every write of this reign carries.
+func (r *Reign) Fence() statestore.Cond {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return statestore.Cond{Key: TermKey, Rev: r.rev}
+}
+
+// Valid tells whether no other node can have been elected: the lease was
+// renewed by a request sent less than its time ago, less the clocks' drift.
+func (r *Reign) Valid() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.until)
+}
+
+// Candidate takes part in elections for one node.
+type Candidate struct {
+	Node  string
+	TTL   time.Duration
+	Store *statestore.Client
+
+	mu     sync.Mutex
+	leader string
+	term   uint64
+}
+
+// Leader returns the name of the node last known to lead and its term.
+func (c *Candidate) Leader() (string, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader, c.term
+}
+
+func (c *Candidate) note(leader string, term uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader, c.term = leader, max(term, c.term)
+}
+
+// Run stands for election until ctx ends. While this node leads, it runs lead
+// with a context that ends when leadership is lost.
+func (c *Candidate) Run(ctx context.Context, lead func(context.Context, *Reign)) {
+	for ctx.Err() == nil {
+		r, err := c.campaign(ctx)
+		if err != nil {
+			slog.Debug("no leadership", "err", err)
+			c.note("", 0)
+			pause(ctx, 300*time.Millisecond)
+			continue
+		}
+		if r == nil {
+			continue
+		}
+		slog.Info("elected", "term", r.term)
+		c.note(c.Node, r.term)
+		c.reign(ctx, r, lead)
+		c.note("", 0)
+	}
+}
+
+// pause waits about d, with jitter so that nodes do not act in step.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d/2 + rand.N(d)):
+	}
+}
+
+type standing struct {
+	holder holder
+	hrev   uint64
+	term   uint64
+	trev   uint64
+	rev    uint64
+}
+
+func (c *Candidate) read(ctx context.Context) (standing, error) {
+	var s standing
+	page, err := c.Store.List(ctx, prefix, "", 10, statestore.Lease)
+	if err != nil {
+		return s, err
+	}
+	s.rev = page.Rev
+	for _, it := range page.Items {
+		switch it.Key {
+		case holderKey:
+			s.hrev = it.Rev
+			err = wire.Unmarshal(it.Value, &s.holder)
+		case TermKey:
+			var t termValue
+			err = wire.Unmarshal(it.Value, &t)
+			s.term, s.trev = t.Term, it.Rev
+		}
+		if err != nil {
+			return s, fmt.Errorf("leadership: %s: %w", it.Key, err)
+		}
+	}
+	return s, nil
+}
+
+// campaign returns a reign if this node was elected, or nil after waiting for
+// a change where another node leads.
+func (c *Candidate) campaign(ctx context.Context) (*Reign, error) {
+	s, err := c.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	// A key that names this node was left by an earlier process of it: a node
+	// is one process, so nobody else acts under it, and it is taken over
+	// without waiting for the lease to end.
+	if s.hrev != 0 && s.holder.Node != c.Node {
+		c.note(s.holder.Node, s.holder.Term)
+		if _, _, err := c.Store.Watch(ctx, prefix, s.rev, 5*time.Second); err != nil {
+			return nil, err
+		}
+		return nil, nil
+	}
+	sent := time.Now()
+	lease, err := c.Store.Grant(ctx, c.TTL)
+	if err != nil {
+		return nil, fmt.Errorf("leadership: lease: %w", err)
+	}
+	r := &Reign{c: c, lease: lease, until: c.validUntil(sent)}
+	if err := c.claim(ctx, r, s); err != nil {
+		// Without the lease's end a claim that is applied late would hold the
+		// key for a node that does not know of it.
+		if err := c.Store.Revoke(context.WithoutCancel(ctx), lease); err != nil {
+			slog.Debug("lease not revoked", "err", err)
+		}
+		return nil, err
+	}
+	return r, nil
+}
+
+func (c *Candidate) validUntil(sent time.Time) time.Time {
+	return sent.Add(c.TTL - time.Duration(float64(c.TTL)*drift))
+}
+
+// claim takes the next term for r, conditioned on s still standing. An
+// unanswered claim is read back.
+func (c *Candidate) claim(ctx context.Context, r *Reign, s standing) error {
+	term := s.term + 1
+	rev, err := c.Store.Txn(ctx,
+		[]statestore.Cond{{Key: holderKey, Rev: s.hrev}, {Key: TermKey, Rev: s.trev}},
+		[]statestore.Op{
+			{Put: holderKey, Value: wire.Marshal(holder{c.Node, term, r.lease}), Lease: r.lease},
+			{Put: TermKey, Value: wire.Marshal(termValue{term})},
+		}, statestore.Lease)
+	if errors.Is(err, statestore.ErrUnknown) {
+		now, rerr := c.read(ctx)
+		if rerr == nil && now.holder.Lease == r.lease && now.term == term && now.hrev == now.trev {
+			rev, err = now.trev, nil
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("leadership: claim: %w", err)
+	}
+	r.mu.Lock()
+	r.term, r.rev = term, rev
+	r.mu.Unlock()
+	return nil
+}
+
+// Raise takes a new term without giving up leadership. Workers that have seen
+// it execute no late copy of a command sent under an earlier one.
+func (r *Reign) Raise(ctx context.Context) error {
+	s, err := r.c.read(ctx)
+	if err != nil {
+		return err
+	}
+	if s.holder.Lease != r.lease {
+		return fmt.Errorf("leadership: raise: term %d is over", r.Term())
+	}
+	if s.trev != r.Fence().Rev {
+		// An earlier raise that went unanswered was applied after all.
+		r.mu.Lock()
+		r.term, r.rev = s.term, s.trev
+		r.mu.Unlock()
+		return nil
+	}
+	if err := r.c.claim(ctx, r, s); err != nil {
+		return err
+	}
+	r.c.note(r.c.Node, r.Term())
+	return nil
+}
+
+// Resign ends the lease, so that another node can lead at once.
+func (r *Reign) Resign(ctx context.Context) {
+	if err := r.c.Store.Revoke(ctx, r.lease); err != nil {
+		slog.Info("lease not revoked", "err", err)
+	}
+}
+
+// reign renews the lease while lead runs. A renewal that fails for any reason
+// but the lease's end is tried again: in an outage of the state service every
+// lease has its full time again afterwards, and no other node can be elected.
+func (c *Candidate) reign(ctx context.Context, r *Reign, lead func(context.Context, *Reign)) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer cancel()
+		lead(ctx, r)
+	}()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(c.TTL / 4):
+		}
+		sent := time.Now()
+		rctx, stop := context.WithTimeout(ctx, c.TTL/3)
+		err := c.Store.Extend(rctx, r.lease)
+		stop()
+		if errors.Is(err, statestore.ErrNotFound) {
+			slog.Info("leadership lost: lease ended", "term", r.Term())
+			break
+		}
+		if err == nil {
+			r.mu.Lock()
+			r.until = c.validUntil(sent)
+			r.mu.Unlock()
+		} else if ctx.Err() == nil {
+			slog.Debug("lease not renewed", "term", r.Term(), "err", err)
+		}
+	}
+	cancel()
+	<-done
+}
--- /dev/null
+++ b/internal/ledger/batch.go
@@ -0,0 +1,249 @@
+package ledger
+
+import (
+	"sort"
+	"time"
+
+	"tulipshelf/internal/statestore"
+	"tulipshelf/internal/wire"
+)
+
+// lazy is how long completions and losses that finish no job may wait for
+// company. Until they are written the worker still reports them, or they are
+// found out again; nothing is told to anybody on their strength.
+const lazy = 2 * time.Second
+
+// maxBatch keeps a transaction below the state service's 64 KiB.
+const maxBatch = 48 << 10
+
+// Batch is one transaction's worth of changes.
+type Batch struct {
+	Conds  []statestore.Cond
+	Ops    []statestore.Op
+	chunks []chunkWrite
+	ends   []endWrite
+}
+
+type chunkWrite struct {
+	j      *Job
+	c      *chunk
+	starts []*Attempt
+}
+
+type endWrite struct {
+	j    *Job
+	gone []int // chunks deleted with it
+}
+
+// NextBatch builds the most urgent changes into one transaction of at most
+// maxOps changes, fenced by the leader's term, or returns nil. One batch is in
+// flight at a time.
+func (b *Book) NextBatch(fence statestore.Cond, maxOps int, now time.Time) *Batch {
+	type cand struct {
+		j   *Job
+		c   *chunk // nil: the job's end
+		key int
+	}
+	var cands []cand
+	for j := range b.dirty {
+		if j.ending {
+			cands = append(cands, cand{j, nil, 100 + j.Spec.Rank()})
+			continue
+		}
+		for _, c := range j.chunks {
+			switch {
+			case !c.dirty:
+			case c.starts && j.Cancelled:
+				// The starts are about to be taken back, unsent.
+			case c.starts:
+				cands = append(cands, cand{j, c, 200 + j.Spec.Rank()})
+			case now.Sub(c.since) >= lazy:
+				cands = append(cands, cand{j, c, 0})
+			}
+		}
+	}
+	if len(cands) == 0 || maxOps < 1 {
+		return nil
+	}
+	sort.Slice(cands, func(x, y int) bool {
+		a, b := cands[x], cands[y]
+		if a.key != b.key {
+			return a.key > b.key
+		}
+		if a.j.Arrival != b.j.Arrival {
+			return a.j.Arrival < b.j.Arrival
+		}
+		return a.c != nil && b.c != nil && a.c.n < b.c.n
+	})
+	out := &Batch{Conds: []statestore.Cond{fence}}
+	size := 0
+	for _, k := range cands {
+		if len(out.Ops) >= maxOps || size > maxBatch {
+			break
+		}
+		if k.c == nil {
+			out.addEnd(k.j, maxOps)
+			size += 200
+			continue
+		}
+		value := k.j.chunkValue(k.c.n)
+		if size += len(value) + 200; size > maxBatch && len(out.Ops) > 0 {
+			break
+		}
+		w := chunkWrite{j: k.j, c: k.c}
+		key := chunkKey(k.j.Spec.ID, k.c.n)
+		out.Conds = append(out.Conds, statestore.Cond{Key: key, Rev: k.c.rev})
+		if k.c.starts {
+			// A start is only recorded while its job is not cancelled.
+			out.Conds = append(out.Conds, statestore.Cond{Key: JobKey(k.j.Spec.ID), Rev: k.j.Rev})
+			first := k.c.n * k.j.record.Chunk
+			for t := first; t < first+k.j.record.Chunk; t++ {
+				if a := k.j.live[t]; a != nil && !a.Recorded {
+					w.starts = append(w.starts, a)
+				}
+			}
+		}
+		out.Ops = append(out.Ops, statestore.Op{Put: key, Value: value})
+		out.chunks = append(out.chunks, w)
+		k.c.dirty, k.c.starts, k.c.flying = false, false, true // set again by changes while it is in flight
+	}
+	if len(out.Ops) == 0 {
+		return nil
+	}
+	return out
+}
+
+func (out *Batch) addEnd(j *Job, maxOps int) {
+	room := maxOps - len(out.Ops)
+	if room < 2 {
+		return
+	}
+	status := Done
+	if j.Cancelled {
+		status = Cancelled
+	}
+	id := j.Spec.ID
+	w := endWrite{j: j}
+	out.Conds = append(out.Conds, statestore.Cond{Key: JobKey(id), Rev: j.Rev})
+	out.Ops = append(out.Ops,
+		statestore.Op{Put: EndKey(id), Value: wire.Marshal(Final{status, j.Spec.Tasks})},
+		statestore.Op{Delete: JobKey(id)})
+	for n, c := range j.chunks {
+		if c.rev == 0 && !c.dirty {
+			continue
+		}
+		if len(out.Ops) >= maxOps {
+			break
+		}
+		out.Ops = append(out.Ops, statestore.Op{Delete: chunkKey(id, n)})
+		w.gone = append(w.gone, n)
+	}
+	out.ends = append(out.ends, w)
+}
+
+// Committed takes the news that the batch was applied at rev. It returns the
+// attempts that may now be sent and the jobs that have ended.
+func (b *Book) Committed(bt *Batch, rev uint64) (starts []*Attempt, ended []*Job) {
+	for _, w := range bt.chunks {
+		w.c.rev, w.c.flying = rev, false
+		for _, a := range w.starts {
+			if w.j.live[a.Task] == a {
+				a.Recorded = true
+				starts = append(starts, a)
+			}
+		}
+		b.clean(w.j)
+	}
+	for _, w := range bt.ends {
+		for _, n := range w.gone {
+			delete(w.j.chunks, n)
+		}
+		for n := range w.j.chunks {
+			w.j.orphans = append(w.j.orphans, n)
+		}
+		delete(b.jobs, w.j.Spec.ID)
+		delete(b.dirty, w.j)
+		b.ended[w.j.Spec.ID] = struct{}{}
+		ended = append(ended, w.j)
+	}
+	return starts, ended
+}
+
+// Failed takes the news that the batch was not applied, or may not have been.
+// Everything in it is written again, under the same conditions: of two
+// transactions with the same condition at most one is ever applied.
+func (b *Book) Failed(bt *Batch) {
+	for _, w := range bt.chunks {
+		w.c.dirty, w.c.flying = true, false
+		w.c.starts = w.c.starts || len(w.starts) > 0
+		b.dirty[w.j] = struct{}{}
+	}
+}
+
+// ChunkRev takes the revision found when a chunk's condition has failed: an
+// unanswered write of ours was applied after all. Only this leader's term can
+// have written it, so memory is the newer state.
+func (b *Book) ChunkRev(id string, n int, rev uint64) {
+	if j := b.jobs[id]; j != nil && j.chunks[n] != nil {
+		j.chunks[n].rev = rev
+	}
+}
+
+// Gone drops a job whose record is found deleted, here or by the watch: its end
+// was recorded.
+func (b *Book) Gone(id string, byWatch bool) *Job {
+	if byWatch {
+		delete(b.ended, id)
+	} else {
+		b.ended[id] = struct{}{}
+	}
+	j := b.jobs[id]
+	if j != nil {
+		delete(b.jobs, id)
+		delete(b.dirty, j)
+	}
+	return j
+}
+
+// DropUnrecorded takes back the attempts of a cancelled job that no batch has
+// recorded: their starts were never sent.
+func (b *Book) DropUnrecorded(j *Job, now time.Time) (dropped []*Attempt) {
+	for _, a := range j.live {
+		if !a.Recorded {
+			dropped = append(dropped, a)
+		}
+	}
+	for _, a := range dropped {
+		b.End(a, false, now)
+	}
+	return dropped
+}
+
+func (b *Book) clean(j *Job) {
+	if j.ending {
+		return
+	}
+	for _, c := range j.chunks {
+		if c.dirty {
+			return
+		}
+	}
+	delete(b.dirty, j)
+}
+
+// Durable tells whether everything the book knows of the job's task is written.
+func (j *Job) Durable(task int) bool {
+	c := j.chunks[task/j.record.Chunk]
+	return c != nil && !c.dirty && !c.flying && c.rev != 0
+}
+
+// OrphanOps returns deletions of an ended job's remaining chunks, at most n.
+func (j *Job) OrphanOps(n int) []statestore.Op {
+	n = min(n, len(j.orphans))
+	var ops []statestore.Op
+	for _, c := range j.orphans[:n] {
+		ops = append(ops, statestore.Op{Delete: chunkKey(j.Spec.ID, c)})
+	}
+	j.orphans = j.orphans[n:]
+	return ops
+}
--- /dev/null
+++ b/internal/ledger/book.go
@@ -0,0 +1,415 @@
+// Package ledger keeps the records of jobs and of attempts to run their tasks:
+// the leader's copy in memory and the batches of conditional writes that make
+// it durable.
+//
+// Keys: job/ID is the job while it is unfinished; job/ID/NNNNNN a chunk of its
+// tasks, with those done and the live attempts; end/ID its final state.
+package ledger
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/wire"
+)
+
+// Prefixes of the keys of this slice.
+const (
+	JobPrefix = "job/"
+	endPrefix = "end/"
+)
+
+// JobKey returns the key of an unfinished job.
+func JobKey(id string) string { return JobPrefix + id }
+
+// EndKey returns the key of a finished job's state.
+func EndKey(id string) string { return endPrefix + id }
+
+func chunkKey(id string, n int) string { return fmt.Sprintf("%s%s/%06d", JobPrefix, id, n) }
+
+// SplitKey takes apart a key under JobPrefix; chunk is -1 for the job itself.
+func SplitKey(key string) (id string, chunk int, ok bool) {
+	id, rest, found := strings.Cut(strings.TrimPrefix(key, JobPrefix), "/")
+	if !job.ValidID(id) {
+		return "", 0, false
+	}
+	if !found {
+		return id, -1, true
+	}
+	n, err := strconv.Atoi(rest)
+	return id, n, err == nil
+}
+
+// Record is the value under a job's key.
+type Record struct {
+	Spec        *job.Spec `cbor:"spec"`
+	AtMS        int64     `cbor:"at_ms"`                  // submission, time of day
+	Arrival     uint64    `cbor:"arrival,omitempty"`      // first revision, kept when cancelled
+	CancelledMS int64     `cbor:"cancelled_ms,omitempty"` // 0: not cancelled
+	Chunk       int       `cbor:"chunk"`                  // tasks in one chunk
+}
+
+// Final is the value under a finished job's key.
+type Final struct {
+	Status string `cbor:"status"` // Done or Cancelled
+	Tasks  int    `cbor:"tasks"`
+}
+
+// Final states, in the protocol's words since users are told them verbatim.
+const (
+	Done      = "done"
+	Cancelled = "withdrawn"
+)
+
+// chunkValue is the value of one chunk. An attempt is a list of task number,
+// attempt, machine and session.
+type chunkValue struct {
+	Done string         `cbor:"done"` // ranges such as "0-5,9", from the chunk's first task
+	Live []attemptValue `cbor:"live"`
+}
+
+type attemptValue struct {
+	_       struct{} `cbor:",toarray"`
+	Task    int
+	Try     uint64
+	Machine string
+	Session uint64
+}
+
+// ChunkSize returns how many tasks fit into one chunk with all of them live.
+func ChunkSize(valueBytes int) int {
+	const perTask = 64 // an attempt with long names, with room to spare
+	return max(1, min(1024, (valueBytes-256)/perTask))
+}
+
+const termShift = 24
+
+// TryTerm returns the term under which an attempt was made. Attempts are
+// numbered within a term, so that no number is ever used twice.
+func TryTerm(try uint64) uint64 { return try >> termShift }
+
+// State of a task.
+type State uint8
+
+// States of a task.
+const (
+	Waiting State = iota
+	Live
+	TaskDone
+)
+
+// Job is an unfinished job.
+type Job struct {
+	Spec        *job.Spec
+	Rev         uint64 // of its record
+	Arrival     uint64
+	At          time.Time
+	Cancelled   bool
+	CancelledAt time.Time
+	Team        int // dense, set by the controller
+
+	record  Record
+	tasks   []State
+	live    map[int]*Attempt
+	done    int
+	next    int // no waiting task below it
+	chunks  map[int]*chunk
+	ending  bool
+	orphans []int // chunks to delete after the end is recorded
+}
+
+// DoneTasks returns how many tasks are done.
+func (j *Job) DoneTasks() int { return j.done }
+
+// LiveTasks returns how many tasks have an attempt that is not proven gone.
+func (j *Job) LiveTasks() int { return len(j.live) }
+
+// WaitingTasks returns how many tasks wait for a machine.
+func (j *Job) WaitingTasks() int {
+	if j.Cancelled {
+		return 0
+	}
+	return len(j.tasks) - j.done - len(j.live)
+}
+
+// NextWaiting returns the first waiting task at or after from, or -1.
+func (j *Job) NextWaiting(from int) int {
+	for t := max(from, j.next); t < len(j.tasks); t++ {
+		if j.tasks[t] == Waiting {
+			return t
+		}
+	}
+	return -1
+}
+
+// Attempts calls f for each live attempt.
+func (j *Job) Attempts(f func(*Attempt)) {
+	for _, a := range j.live {
+		f(a)
+	}
+}
+
+// Live returns the live attempt of a task, or nil.
+func (j *Job) LiveAttempt(task int) *Attempt { return j.live[task] }
+
+// Attempt is one try to run a task on one machine in one of its sessions. It
+// is live until there is proof that it is gone.
+type Attempt struct {
+	Job      *Job
+	Task     int
+	Try      uint64
+	Machine  string
+	Session  uint64
+	Recorded bool // durable: only then may the start be sent
+}
+
+// Name returns the protocol's name of the attempt's task.
+func (a *Attempt) Name() string { return a.Job.Spec.ID + "/" + strconv.Itoa(a.Task) }
+
+type chunk struct {
+	n      int
+	rev    uint64
+	dirty  bool
+	flying bool      // being written
+	since  time.Time // when it became dirty
+	starts bool      // holds starts not yet recorded
+}
+
+// Book is the leader's copy of all unfinished jobs.
+type Book struct {
+	jobs  map[string]*Job
+	dirty map[*Job]struct{}
+	ended map[string]struct{} // until the watch has seen them go
+	seq   uint64
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{jobs: map[string]*Job{}, dirty: map[*Job]struct{}{}, ended: map[string]struct{}{}}
+}
+
+// Job returns an unfinished job, or nil.
+func (b *Book) Job(id string) *Job { return b.jobs[id] }
+
+// Jobs calls f for each unfinished job, in no order.
+func (b *Book) Jobs(f func(*Job)) {
+	for _, j := range b.jobs {
+		f(j)
+	}
+}
+
+// Len returns how many jobs are unfinished.
+func (b *Book) Len() int { return len(b.jobs) }
+
+// DecodeRecord reads the value of a job's key.
+func DecodeRecord(value []byte) (Record, error) {
+	var r Record
+	if err := wire.Unmarshal(value, &r); err != nil || r.Spec == nil || r.Chunk < 1 {
+		return r, fmt.Errorf("ledger: job record: %w", err)
+	}
+	return r, nil
+}
+
+// PutJob takes a job's record as read at rev. It returns the job and whether
+// it is new or newly cancelled.
+func (b *Book) PutJob(value []byte, rev uint64) (*Job, bool, error) {
+	rec, err := DecodeRecord(value)
+	if err != nil {
+		return nil, false, err
+	}
+	if _, over := b.ended[rec.Spec.ID]; over {
+		return nil, false, nil // the watch is behind our own write
+	}
+	j := b.jobs[rec.Spec.ID]
+	if j != nil && rev <= j.Rev {
+		return j, false, nil
+	}
+	fresh := j == nil
+	if fresh {
+		j = &Job{Spec: rec.Spec, Arrival: rev, At: time.UnixMilli(rec.AtMS),
+			tasks: make([]State, rec.Spec.Tasks), live: map[int]*Attempt{}, chunks: map[int]*chunk{}}
+		b.jobs[rec.Spec.ID] = j
+	}
+	if rec.Arrival != 0 {
+		j.Arrival = rec.Arrival
+	}
+	newlyCancelled := rec.CancelledMS != 0 && !j.Cancelled
+	j.record, j.Rev = rec, rev
+	if newlyCancelled {
+		j.Cancelled, j.CancelledAt = true, time.UnixMilli(rec.CancelledMS)
+		b.checkEnd(j)
+	}
+	return j, fresh || newlyCancelled, nil
+}
+
+// PutChunk takes a chunk's value as a new leader reads it.
+func (b *Book) PutChunk(id string, n int, value []byte, rev uint64) error {
+	j := b.jobs[id]
+	if j == nil {
+		return fmt.Errorf("ledger: chunk %s/%d without a job", id, n)
+	}
+	var v chunkValue
+	if err := wire.Unmarshal(value, &v); err != nil {
+		return fmt.Errorf("ledger: chunk %s/%d: %w", id, n, err)
+	}
+	j.chunks[n] = &chunk{n: n, rev: rev}
+	first := n * j.record.Chunk
+	last := min(first+j.record.Chunk, len(j.tasks))
+	err := eachInRanges(v.Done, func(i int) error {
+		if first+i >= last {
+			return fmt.Errorf("ledger: chunk %s/%d: task out of range", id, n)
+		}
+		if j.tasks[first+i] != TaskDone {
+			j.tasks[first+i] = TaskDone
+			j.done++
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	for _, a := range v.Live {
+		if a.Task < first || a.Task >= last || j.tasks[a.Task] != Waiting {
+			return fmt.Errorf("ledger: chunk %s/%d: attempt of task %d", id, n, a.Task)
+		}
+		j.tasks[a.Task] = Live
+		j.live[a.Task] = &Attempt{Job: j, Task: a.Task, Try: a.Try, Machine: a.Machine, Session: a.Session, Recorded: true}
+	}
+	return nil
+}
+
+// Loaded is called once a new leader has read everything; it ends jobs of
+// which nothing is left to do.
+func (b *Book) Loaded() {
+	for _, j := range b.jobs {
+		b.checkEnd(j)
+	}
+}
+
+// Start makes an attempt. It must not be sent before a batch has recorded it.
+func (b *Book) Start(j *Job, task int, machine string, session, term uint64, now time.Time) *Attempt {
+	if j.tasks[task] != Waiting || j.Cancelled {
+		panic(fmt.Sprintf("ledger: start of %s/%d in state %d", j.Spec.ID, task, j.tasks[task]))
+	}
+	b.seq++
+	a := &Attempt{Job: j, Task: task, Try: term<<termShift | b.seq, Machine: machine, Session: session}
+	j.tasks[task] = Live
+	j.live[task] = a
+	for j.next < len(j.tasks) && j.tasks[j.next] != Waiting {
+		j.next++
+	}
+	c := b.touch(j, task, now)
+	c.starts = true
+	return a
+}
+
+// End takes an attempt that is proven gone: done, or its task waits again.
+func (b *Book) End(a *Attempt, done bool, now time.Time) {
+	j := a.Job
+	if j.live[a.Task] != a {
+		return
+	}
+	delete(j.live, a.Task)
+	if done {
+		j.tasks[a.Task] = TaskDone
+		j.done++
+	} else {
+		j.tasks[a.Task] = Waiting
+		j.next = min(j.next, a.Task)
+	}
+	b.touch(j, a.Task, now)
+	b.checkEnd(j)
+}
+
+func (b *Book) touch(j *Job, task int, now time.Time) *chunk {
+	n := task / j.record.Chunk
+	c := j.chunks[n]
+	if c == nil {
+		c = &chunk{n: n}
+		j.chunks[n] = c
+	}
+	if !c.dirty {
+		c.dirty, c.since = true, now
+	}
+	b.dirty[j] = struct{}{}
+	return c
+}
+
+// checkEnd marks a job whose end can be recorded: all tasks done, or cancelled
+// and no attempt left.
+func (b *Book) checkEnd(j *Job) {
+	if j.done == len(j.tasks) || j.Cancelled && len(j.live) == 0 {
+		j.ending = true
+		b.dirty[j] = struct{}{}
+	}
+}
+
+func (j *Job) chunkValue(n int) []byte {
+	first := n * j.record.Chunk
+	last := min(first+j.record.Chunk, len(j.tasks))
+	var v chunkValue
+	var sb strings.Builder
+	for t := first; t < last; t++ {
+		if j.tasks[t] != TaskDone {
+			continue
+		}
+		end := t
+		for end+1 < last && j.tasks[end+1] == TaskDone {
+			end++
+		}
+		if sb.Len() > 0 {
+			sb.WriteByte(',')
+		}
+		sb.WriteString(strconv.Itoa(t - first))
+		if end > t {
+			sb.WriteByte('-')
+			sb.WriteString(strconv.Itoa(end - first))
+		}
+		t = end
+	}
+	v.Done = sb.String()
+	for t := first; t < last; t++ {
+		if a := j.live[t]; a != nil {
+			v.Live = append(v.Live, attemptValue{Task: t, Try: a.Try, Machine: a.Machine, Session: a.Session})
+		}
+	}
+	return wire.Marshal(v)
+}
+
+// CountDone returns how many tasks a chunk's value says are done and live, for
+// display.
+func CountDone(value []byte) (done, live int, err error) {
+	var v chunkValue
+	if err := wire.Unmarshal(value, &v); err != nil {
+		return 0, 0, fmt.Errorf("ledger: chunk: %w", err)
+	}
+	err = eachInRanges(v.Done, func(int) error { done++; return nil })
+	return done, len(v.Live), err
+}
+
+// eachInRanges calls f for each number of a text such as "0-5,9".
+func eachInRanges(s string, f func(int) error) error {
+	if s == "" {
+		return nil
+	}
+	for _, part := range strings.Split(s, ",") {
+		from, to, pair := strings.Cut(part, "-")
+		a, err := strconv.Atoi(from)
+		b := a
+		if err == nil && pair {
+			b, err = strconv.Atoi(to)
+		}
+		if err != nil || a < 0 || b < a || b > job.MaxTasks {
+			return fmt.Errorf("ledger: bad range %q", part)
+		}
+		for i := a; i <= b; i++ {
+			if err := f(i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,283 @@
+package placement
+
+import (
+	"sort"
+	"time"
+)
+
+// Machine is a machine as placement sees it. Its position in the list is its
+// dense index.
+type Machine struct {
+	Open  bool // takes new tasks
+	Type  int
+	Zone  int
+	Spot  bool
+	Free  Amounts
+	Load  float64 // the index
+	Tasks []Task  // booked tasks, for preemption
+}
+
+// Task is a booked task.
+type Task struct {
+	ID       int // the caller's
+	Need     Amounts
+	Priority int
+	Team     int
+	Since    time.Time
+	Stopping bool
+}
+
+// Job is a job with waiting tasks.
+type Job struct {
+	ID       int // the caller's
+	Team     int
+	Priority int
+	Arrival  uint64
+	Need     Amounts
+	Waiting  int
+	Types    []bool // allowed by dense type; nil: any
+	Zone     int    // -1: any
+	Spot     bool
+	OneZone  bool
+	Apart    bool
+	Gang     bool  // placed whole or not at all
+	Tasks    int   // of the job in all
+	InZone   []int // of its tasks not done or now on machines, by zone
+	Urgent   bool  // may preempt
+}
+
+// Team is a team's limit and what its tasks use now.
+type Team struct {
+	CPUs, GPUs       float64 // guaranteed
+	CPUsMax, GPUsMax float64
+	CPUsUsed         float64
+	GPUsUsed         float64
+}
+
+func (t *Team) room(n Amounts) bool {
+	return t.CPUsUsed+n[CPU] <= t.CPUsMax+eps && t.GPUsUsed+n[GPU] <= t.GPUsMax+eps
+}
+
+func (t *Team) use(n Amounts, k float64) {
+	t.CPUsUsed += k * n[CPU]
+	t.GPUsUsed += k * n[GPU]
+}
+
+// Assignment sends one task of a job to a machine.
+type Assignment struct {
+	Job     int // position in the list of jobs
+	Machine int
+}
+
+// Stop asks for a task to be stopped to make room for a job.
+type Stop struct {
+	Machine int
+	Task    int // ID
+	For     int // position in the list of jobs
+}
+
+// Plan is the outcome of one pass.
+type Plan struct {
+	Assign  []Assignment
+	Stops   []Stop
+	Starved []int // by position of the job: tasks that found no machine though the team had room
+}
+
+// planner is the state of one pass.
+type planner struct {
+	now      time.Time
+	machines []Machine
+	teams    []Team
+	out      Plan
+}
+
+// Place makes one pass: waiting tasks by priority, then arrival, each to the
+// fitting machine with the lowest index, within their teams' limits. It
+// changes machines, jobs and teams as it goes.
+func Place(now time.Time, machines []Machine, jobs []Job, teams []Team) Plan {
+	p := &planner{now: now, machines: machines, teams: teams}
+	p.out.Starved = make([]int, len(jobs))
+	order := make([]int, len(jobs))
+	for i := range order {
+		order[i] = i
+	}
+	sort.Slice(order, func(x, y int) bool {
+		a, b := &jobs[order[x]], &jobs[order[y]]
+		if a.Priority != b.Priority {
+			return a.Priority > b.Priority
+		}
+		return a.Arrival < b.Arrival
+	})
+	for _, i := range order {
+		j := &jobs[i]
+		if j.Gang {
+			p.gang(i, j)
+			continue
+		}
+		for n := 0; n < j.Waiting; n++ {
+			if !p.teams[j.Team].room(j.Need) {
+				break
+			}
+			m := p.best(j, -1)
+			if m < 0 {
+				p.out.Starved[i] = j.Waiting - n
+				if j.Urgent {
+					p.preempt(i, j, j.Waiting-n)
+				}
+				break
+			}
+			p.assign(i, j, m)
+		}
+	}
+	return p.out
+}
+
+func (p *planner) assign(i int, j *Job, m int) {
+	p.machines[m].Free = p.machines[m].Free.Add(j.Need, -1)
+	p.teams[j.Team].use(j.Need, 1)
+	j.InZone[p.machines[m].Zone]++
+	p.out.Assign = append(p.out.Assign, Assignment{i, m})
+}
+
+// gang places all waiting tasks of a job in this pass or none. Where all must
+// be in one zone, each zone is tried in order.
+func (p *planner) gang(i int, j *Job) {
+	zones := []int{-1}
+	if j.OneZone {
+		zones = zones[:0]
+		for z := range j.InZone {
+			zones = append(zones, z)
+		}
+	}
+	for _, z := range zones {
+		done := len(p.out.Assign)
+		for len(p.out.Assign)-done < j.Waiting && p.teams[j.Team].room(j.Need) {
+			m := p.best(j, z)
+			if m < 0 {
+				break
+			}
+			p.assign(i, j, m)
+		}
+		if len(p.out.Assign)-done == j.Waiting {
+			return
+		}
+		for _, a := range p.out.Assign[done:] {
+			m := &p.machines[a.Machine]
+			m.Free = m.Free.Add(j.Need, 1)
+			p.teams[j.Team].use(j.Need, -1)
+			j.InZone[m.Zone]--
+		}
+		p.out.Assign = p.out.Assign[:done]
+	}
+	p.out.Starved[i] = j.Waiting
+}
+
+// best returns the fitting machine with the lowest index, the first of equals,
+// or -1. only, if not negative, names the zone.
+func (p *planner) best(j *Job, only int) int {
+	best := -1
+	for i := range p.machines {
+		m := &p.machines[i]
+		if !m.Open || (best >= 0 && m.Load >= p.machines[best].Load) {
+			continue
+		}
+		if !m.Free.Fits(j.Need) || !j.Allows(m) || (only >= 0 && m.Zone != only) {
+			continue
+		}
+		best = i
+	}
+	return best
+}
+
+// Allows tells whether a task of j may start on m, given j's other tasks.
+func (j *Job) Allows(m *Machine) bool {
+	if m.Type < 0 || m.Zone < 0 || m.Zone >= len(j.InZone) {
+		return false
+	}
+	if j.Types != nil && !j.Types[m.Type] || j.Zone >= 0 && j.Zone != m.Zone || m.Spot && !j.Spot {
+		return false
+	}
+	if j.Apart && j.InZone[m.Zone] >= (j.Tasks+1)/2 {
+		return false
+	}
+	if j.OneZone {
+		for z, n := range j.InZone {
+			if n > 0 && z != m.Zone {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// preempt makes room for up to n tasks of j, each by stopping tasks of lower
+// priority on the one machine where that loses the least run time.
+func (p *planner) preempt(i int, j *Job, n int) {
+	for ; n > 0 && p.teams[j.Team].room(j.Need); n-- {
+		best, bestStops, bestCost := -1, []int(nil), 0.0
+		for k := range p.machines {
+			m := &p.machines[k]
+			if !m.Open || !j.Allows(m) {
+				continue
+			}
+			stops, cost, ok := m.victims(j, p.now)
+			if ok && (best < 0 || cost < bestCost) {
+				best, bestStops, bestCost = k, stops, cost
+			}
+		}
+		if best < 0 {
+			return
+		}
+		m := &p.machines[best]
+		for _, v := range bestStops {
+			t := &m.Tasks[v]
+			if !t.Stopping {
+				t.Stopping = true
+				p.out.Stops = append(p.out.Stops, Stop{best, t.ID, i})
+			}
+			// The room is promised to j, so the task no longer counts here.
+			m.Free = m.Free.Add(t.Need, 1)
+			t.Need = Amounts{}
+		}
+		m.Free = m.Free.Add(j.Need, -1)
+		p.teams[j.Team].use(j.Need, 1)
+		j.InZone[m.Zone]++
+	}
+}
+
+// victims picks tasks of lower priority than j, those already stopping and the
+// youngest first, until j's task fits. The cost is the run time lost.
+func (m *Machine) victims(j *Job, now time.Time) (stops []int, cost float64, ok bool) {
+	free := m.Free
+	order := make([]int, 0, len(m.Tasks))
+	for i, t := range m.Tasks {
+		if t.Priority < j.Priority && t.Need != (Amounts{}) {
+			order = append(order, i)
+		}
+	}
+	sort.Slice(order, func(x, y int) bool {
+		a, b := &m.Tasks[order[x]], &m.Tasks[order[y]]
+		if a.Stopping != b.Stopping {
+			return a.Stopping
+		}
+		if a.Priority != b.Priority {
+			return a.Priority < b.Priority
+		}
+		if !a.Since.Equal(b.Since) {
+			return a.Since.After(b.Since)
+		}
+		return a.ID < b.ID
+	})
+	for _, i := range order {
+		if free.Fits(j.Need) {
+			break
+		}
+		t := &m.Tasks[i]
+		free = free.Add(t.Need, 1)
+		stops = append(stops, i)
+		if !t.Stopping {
+			cost += now.Sub(t.Since).Seconds()
+		}
+	}
+	return stops, cost, free.Fits(j.Need)
+}
--- /dev/null
+++ b/internal/statestore/statestore.go
@@ -0,0 +1,274 @@
+// Package statestore is the client of the state service: keys with revisions,
+// conditional transactions, leases and watches, within this node's share of
+// the service's limits.
+package statestore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"tulipshelf/internal/wire"
+)
+
+// Errors that callers tell apart. Any other error, and ErrUnknown above all,
+// leaves open whether a transaction was or yet will be applied.
+var (
+	ErrRefused     = errors.New("statestore: not executed") // 429, 503, or nothing sent
+	ErrUnknown     = errors.New("statestore: outcome unknown")
+	ErrNotFound    = errors.New("statestore: not found")
+	ErrNoSuchLease = errors.New("statestore: no such lease")
+	ErrCompacted   = errors.New("statestore: revision too old")
+	ErrBudget      = fmt.Errorf("%w: over this node's own rate", ErrRefused)
+)
+
+// Urgency orders requests when the budget runs short.
+type Urgency int
+
+// From what may go into debt to what waits first.
+const (
+	Lease Urgency = iota // leadership: never held back here
+	User                 // submissions, cancellations, starts, completions
+	Rest                 // everything else
+)
+
+// Item is one key with its value and revision.
+type Item struct {
+	Key   string   `cbor:"path"`
+	Value wire.Raw `cbor:"value"`
+	Rev   uint64   `cbor:"stamp"`
+}
+
+// Cond requires that a key has a revision; 0: that it does not exist.
+type Cond struct {
+	Key string `cbor:"path"`
+	Rev uint64 `cbor:"stamp"`
+}
+
+// Op is a put, with an optional lease, or a delete.
+type Op struct {
+	Put    string   `cbor:"put,omitempty"`
+	Value  wire.Raw `cbor:"value,omitempty"`
+	Lease  uint64   `cbor:"hold,omitempty"`
+	Delete string   `cbor:"drop,omitempty"`
+}
+
+// ConflictError tells which conditions of a transaction did not hold.
+type ConflictError struct{ Keys []string }
+
+func (e *ConflictError) Error() string { return fmt.Sprintf("statestore: conflict on %v", e.Keys) }
+
+// Event is one change seen by a watch.
+type Event struct {
+	Put    string   `cbor:"put"`
+	Value  wire.Raw `cbor:"value"`
+	Rev    uint64   `cbor:"stamp"`
+	Delete string   `cbor:"drop"`
+}
+
+// Client talks to the state service. It is safe for concurrent use.
+type Client struct {
+	http   *wire.Client
+	reqs   bucket
+	writes bucket
+	lastOK atomic.Int64 // when the service last executed anything, in Unix nanoseconds
+}
+
+// Served tells whether the service executed a request of this node lately.
+func (c *Client) Served(within time.Duration) bool {
+	return time.Since(time.Unix(0, c.lastOK.Load())) < within
+}
+
+// timeout bounds one request. The service usually answers within 10 ms and now
+// and then takes a few hundred.
+const timeout = 1500 * time.Millisecond
+
+// New returns a client that uses at most the given requests and changes a
+// second.
+func New(addr string, rps, writeRPS float64) *Client {
+	return &Client{
+		http:   &wire.Client{Addr: addr, Limit: 4 << 20, MaxIdle: 6},
+		reqs:   newBucket(rps),
+		writes: newBucket(writeRPS),
+	}
+}
+
+// Get reads one key.
+func (c *Client) Get(ctx context.Context, key string, u Urgency) (Item, error) {
+	if !c.reqs.take(1, u) {
+		return Item{}, ErrBudget
+	}
+	var it Item
+	if err := c.do(ctx, "GET", "/keys/"+key, nil, &it); err != nil {
+		return Item{}, err
+	}
+	return it, nil
+}
+
+// Page is one answer of a range read.
+type Page struct {
+	Items []Item `cbor:"items"`
+	More  bool   `cbor:"has_next"`
+	Rev   uint64 `cbor:"epoch"`
+}
+
+// List reads up to limit keys that begin with prefix, behind after.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int, u Urgency) (Page, error) {
+	if !c.reqs.take(1, u) {
+		return Page{}, ErrBudget
+	}
+	q := "/keys?starts=" + prefix + "&limit=" + strconv.Itoa(limit)
+	if after != "" {
+		q += "&after=" + after
+	}
+	var p Page
+	if err := c.do(ctx, "GET", q, nil, &p); err != nil {
+		return Page{}, err
+	}
+	return p, nil
+}
+
+// Txn applies ops if all conditions hold and returns the revision of the
+// change. A failed condition gives a *ConflictError.
+func (c *Client) Txn(ctx context.Context, conds []Cond, ops []Op, u Urgency) (uint64, error) {
+	if !c.reqs.take(1, u) || !c.writes.take(len(ops), u) {
+		return 0, ErrBudget
+	}
+	body := wire.Marshal(struct {
+		When []Cond `cbor:"when"`
+		Then []Op   `cbor:"then"`
+	}{conds, ops})
+	var out struct {
+		Rev    uint64   `cbor:"epoch"`
+		Failed []string `cbor:"failed"`
+	}
+	err := c.do(ctx, "POST", "/txn", body, &out)
+	if errors.Is(err, errConflict) {
+		return 0, &ConflictError{out.Failed}
+	}
+	return out.Rev, err
+}
+
+// Writable tells how many changes the budget would take now.
+func (c *Client) Writable(u Urgency) int { return c.writes.left(u) }
+
+// Grant opens a lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	c.reqs.take(1, Lease)
+	var out struct {
+		Lease uint64 `cbor:"hold"`
+	}
+	err := c.do(ctx, "POST", "/leases", wire.Marshal(map[string]int64{"ttl_ms": ttl.Milliseconds()}), &out)
+	return out.Lease, err
+}
+
+// Extend renews a lease; ErrNotFound says that it has ended.
+func (c *Client) Extend(ctx context.Context, lease uint64) error {
+	c.reqs.take(1, Lease)
+	return c.do(ctx, "POST", "/leases/"+strconv.FormatUint(lease, 10)+"/extend", nil, nil)
+}
+
+// Revoke ends a lease at once.
+func (c *Client) Revoke(ctx context.Context, lease uint64) error {
+	c.reqs.take(1, Lease)
+	return c.do(ctx, "DELETE", "/leases/"+strconv.FormatUint(lease, 10), nil, nil)
+}
+
+// Watch waits up to wait for changes of keys that begin with prefix, after the
+// given revision, and returns them with the revision they reach to.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+	c.reqs.take(1, Lease)
+	ctx, cancel := context.WithTimeout(ctx, wait+2*time.Second)
+	defer cancel()
+	var out struct {
+		Rev    uint64  `cbor:"epoch"`
+		Events []Event `cbor:"events"`
+	}
+	q := "/changes?starts=" + prefix + "&after=" + strconv.FormatUint(after, 10) +
+		"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	if err := c.do(ctx, "GET", q, nil, &out); err != nil {
+		return nil, 0, err
+	}
+	return out.Events, out.Rev, nil
+}
+
+var errConflict = errors.New("statestore: conflict")
+
+func (c *Client) do(ctx context.Context, method, target string, body []byte, out any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	resp, err := c.http.Do(ctx, method, target, body)
+	if err != nil {
+		c.http.CloseIdle()
+		if errors.Is(err, wire.ErrNotSent) {
+			return fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	if resp.Status != 429 && resp.Status != 503 {
+		c.lastOK.Store(time.Now().UnixNano())
+	}
+	switch resp.Status {
+	case 200, 409:
+		if out != nil && len(resp.Body) > 0 {
+			if err := wire.Unmarshal(resp.Body, out); err != nil {
+				return fmt.Errorf("%w: %w", ErrUnknown, err)
+			}
+		}
+		if resp.Status == 409 {
+			return errConflict
+		}
+		return nil
+	case 204:
+		return nil
+	case 404:
+		return ErrNotFound
+	case 410:
+		return ErrCompacted
+	case 429, 503:
+		return fmt.Errorf("%w: status %d", ErrRefused, resp.Status)
+	case 400:
+		var e struct {
+			Error string `cbor:"error"`
+		}
+		if wire.Unmarshal(resp.Body, &e) == nil && e.Error == "no such lease" {
+			return ErrNoSuchLease
+		}
+		return fmt.Errorf("statestore: %s %s: status 400 %q", method, target, e.Error)
+	}
+	return fmt.Errorf("%w: status %d", ErrUnknown, resp.Status)
+}
+
+// bucket bounds a rate, with one second's worth of burst. Urgent requests may
+// overdraw it; the rest leaves a part to them.
+type bucket struct{ *rate.Limiter }
+
+func newBucket(perSecond float64) bucket {
+	return bucket{rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))}
+}
+
+func (b bucket) take(n int, u Urgency) bool {
+	now := time.Now()
+	if u == Lease {
+		b.ReserveN(now, n)
+		return true
+	}
+	return n <= b.left(u) && b.AllowN(now, n)
+}
+
+// left returns how much the urgency may take now.
+func (b bucket) left(u Urgency) int {
+	tokens := b.Tokens()
+	if u == Rest {
+		tokens -= 0.3 * float64(b.Burst())
+	}
+	return max(0, int(tokens))
+}
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,211 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/evio"
+)
+
+// Handler answers one request. The request's body is only valid until it
+// returns.
+type Handler func(ctx context.Context, req *Request) Response
+
+// Server accepts connections on an evio loop, which only moves bytes; each
+// connection has a goroutine that parses requests and runs the handler.
+type Server struct {
+	Addr        string
+	MaxConns    int
+	IdleTimeout time.Duration // between requests
+	ReadTimeout time.Duration // from a request's first byte to its last
+	Handler     Handler
+
+	open atomic.Int64
+	wg   sync.WaitGroup
+}
+
+// link is what the loop and a connection's goroutine share.
+type link struct {
+	conn evio.Conn
+	more chan struct{} // capacity 1: bytes arrived
+	gone chan struct{} // closed by the loop once the connection is closed
+
+	mu    sync.Mutex
+	in    []byte
+	out   []byte
+	close bool
+}
+
+// maxPending bounds what one connection may have sent and not yet been read:
+// one whole request and the start of the next.
+const maxPending = MaxBody + 2*maxHead
+
+// Run serves until ctx is cancelled. evio's loop ends on any error of accept,
+// such as a connection reset while it waited, so Run starts it anew.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.wg.Wait()
+	for started := false; ; started = true {
+		err := s.serve(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil && !started {
+			return fmt.Errorf("wire: listen on %s: %w", s.Addr, err)
+		}
+		slog.Error("listener ended, starting anew", "addr", s.Addr, "err", err)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (s *Server) serve(ctx context.Context) error {
+	loop, stop := context.WithCancel(ctx)
+	defer stop()
+	var ev evio.Events
+	ev.NumLoops = 1
+	ev.Opened = func(c evio.Conn) (out []byte, opts evio.Options, action evio.Action) {
+		opts.ReuseInputBuffer = true
+		if s.open.Add(1) > int64(s.MaxConns) {
+			return nil, opts, evio.Close
+		}
+		l := &link{conn: c, more: make(chan struct{}, 1), gone: make(chan struct{})}
+		c.SetContext(l)
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.converse(loop, l)
+		}()
+		return nil, opts, evio.None
+	}
+	ev.Closed = func(c evio.Conn, err error) evio.Action {
+		s.open.Add(-1)
+		if l, ok := c.Context().(*link); ok {
+			close(l.gone)
+		}
+		return evio.None
+	}
+	ev.Data = func(c evio.Conn, in []byte) ([]byte, evio.Action) {
+		l, ok := c.Context().(*link)
+		if !ok {
+			return nil, evio.Close
+		}
+		return l.exchange(in)
+	}
+	ev.Tick = func() (time.Duration, evio.Action) {
+		if ctx.Err() != nil {
+			return 0, evio.Shutdown
+		}
+		return 500 * time.Millisecond, evio.None
+	}
+	return evio.Serve(ev, "tcp://"+s.Addr)
+}
+
+// exchange runs on the loop: it takes what arrived and hands out what the
+// goroutine has written.
+func (l *link) exchange(in []byte) ([]byte, evio.Action) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(in) > 0 {
+		if len(l.in)+len(in) > maxPending {
+			return nil, evio.Close
+		}
+		l.in = append(l.in, in...)
+		select {
+		case l.more <- struct{}{}:
+		default:
+		}
+	}
+	out := l.out
+	l.out = nil
+	if l.close {
+		return out, evio.Close
+	}
+	return out, evio.None
+}
+
+// send hands an answer to the loop.
+func (l *link) send(out []byte, end bool) {
+	l.mu.Lock()
+	l.out = append(l.out, out...)
+	l.close = l.close || end
+	l.mu.Unlock()
+	l.conn.Wake()
+}
+
+// next waits for a whole request. The returned buffer backs its body.
+func (l *link) next(ctx context.Context, idle, read time.Duration) (Request, []byte, error) {
+	var first time.Time
+	timer := time.NewTimer(idle)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		req, n, err := ParseRequest(l.in)
+		if err == nil {
+			buf := l.in[:n:n]
+			if n == len(l.in) {
+				l.in = nil
+			} else {
+				l.in = append([]byte(nil), l.in[n:]...)
+			}
+			l.mu.Unlock()
+			return req, buf, nil
+		}
+		some := len(l.in) > 0
+		l.mu.Unlock()
+		if !errors.Is(err, ErrIncomplete) {
+			return req, nil, err
+		}
+		if some && first.IsZero() {
+			first = time.Now()
+			timer.Reset(read)
+		}
+		select {
+		case <-l.more:
+		case <-l.gone:
+			return req, nil, errGone
+		case <-timer.C:
+			return req, nil, errSlow
+		case <-ctx.Done():
+			return req, nil, ctx.Err()
+		}
+	}
+}
+
+var (
+	errGone = errors.New("wire: connection closed")
+	errSlow = errors.New("wire: peer too slow")
+)
+
+// converse is the goroutine of one connection.
+func (s *Server) converse(ctx context.Context, l *link) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		req, _, err := l.next(ctx, s.IdleTimeout, s.ReadTimeout)
+		switch {
+		case errors.Is(err, errGone):
+			return
+		case errors.Is(err, ErrMalformed):
+			// The bytes behind a broken message cannot be trusted as a next one.
+			l.send(AppendResponse(nil, Response{Status: 400, Close: true}), true)
+			return
+		case err != nil:
+			l.send(nil, true)
+			return
+		}
+		resp := s.Handler(ctx, &req)
+		resp.Close = resp.Close || req.Close
+		l.send(AppendResponse(nil, resp), resp.Close)
+		if resp.Close {
+			return
+		}
+	}
+}
