--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -443,6 +443,7 @@
 
 func (l *lead) outcome(m *fleet.Machine, o fleet.Outcome, now time.Time) {
 	a := o.Hold.Attempt
+	slog.Debug("attempt ended", "task", a.Name(), "try", a.Try, "machine", m.Name, "cause", o.Cause)
 	l.book.End(a, o.Cause == fleet.CauseDone, now)
 	st := l.jobs[a.Job]
 	if st == nil {
@@ -467,7 +468,6 @@
 			slog.Info("machine quarantined", "machine", m.Name, "errors", m.Errors)
 		}
 	case fleet.CauseRoom, fleet.CauseInUse, fleet.CauseNoJob:
-		slog.Debug("start refused", "task", a.Name(), "machine", m.Name, "cause", o.Cause)
 		st.notBefore = now.Add(time.Second)
 	}
 }
@@ -511,12 +511,11 @@
 		return v
 	}
 	v.Free = l.capacity(m.Type)
-	for _, h := range m.Holds {
+	for i, h := range m.Sorted() {
 		v.Free = v.Free.Add(l.jobs[h.Job].need, -1)
-		v.Tasks = append(v.Tasks, placement.Task{ID: int(h.Try), Need: l.jobs[h.Job].need,
+		v.Tasks = append(v.Tasks, placement.Task{ID: i, Need: l.jobs[h.Job].need,
 			Priority: h.Job.Spec.Rank(), Team: l.jobs[h.Job].team, Since: h.Since, Stopping: h.Stopping})
 	}
-	sort.Slice(v.Tasks, func(x, y int) bool { return v.Tasks[x].ID < v.Tasks[y].ID })
 	foreign := false
 	m.Foreign(func(string) { foreign = true })
 	v.Load = l.index[m].Value()
@@ -547,7 +546,9 @@
 	}
 	var waiting []*ledger.Job
 	l.book.Jobs(func(j *ledger.Job) {
-		if j.WaitingTasks() > 0 && l.jobs[j].team >= 0 && !now.Before(l.jobs[j].notBefore) {
+		// A gang starts anew only once all of it is gone: a part would wait in vain.
+		parted := j.Spec.Shape == job.Gang && j.LiveTasks() > 0
+		if j.WaitingTasks() > 0 && !parted && l.jobs[j].team >= 0 && !now.Before(l.jobs[j].notBefore) {
 			waiting = append(waiting, j)
 		}
 	})
@@ -557,8 +558,10 @@
 	}
 	sort.Slice(waiting, func(x, y int) bool { return waiting[x].Arrival < waiting[y].Arrival })
 	machines := make([]placement.Machine, l.fleet.Size())
+	held := make([][]*fleet.Hold, len(machines))
 	for i := range machines {
 		machines[i] = l.view(l.fleet.At(i), now)
+		held[i] = l.fleet.At(i).Sorted()
 	}
 	jobs := make([]placement.Job, len(waiting))
 	for i, j := range waiting {
@@ -576,20 +579,21 @@
 	}
 	plan := placement.Place(now, machines, jobs, l.teams())
 	next := make([]int, len(waiting))
+	tries := make([]uint64, len(waiting))
 	for _, a := range plan.Assign {
 		j, m := waiting[a.Job], l.fleet.At(a.Machine)
 		task := j.NextWaiting(next[a.Job])
 		next[a.Job] = task + 1
-		m.Hold(l.book.Start(j, task, m.Name, m.Session, l.reign.Term(), now), now)
+		if tries[a.Job] == 0 || !jobs[a.Job].Gang {
+			tries[a.Job] = l.book.NextTry(l.reign.Term())
+		}
+		h := m.Hold(l.book.Start(j, task, tries[a.Job], m.Name, m.Session, now), now)
+		slog.Debug("attempt placed", "task", h.Name(), "try", h.Try, "machine", m.Name)
 	}
 	for _, s := range plan.Stops {
-		m := l.fleet.At(s.Machine)
-		for _, h := range m.Holds {
-			if int(h.Try) == s.Task {
-				slog.Info("task preempted", "task", h.Name(), "machine", m.Name, "for", waiting[s.For].Spec.ID)
-				m.Stop(h, h.Job.Spec.SaveS)
-			}
-		}
+		h := held[s.Machine][s.Task]
+		slog.Info("task preempted", "task", h.Name(), "machine", h.Machine, "for", waiting[s.For].Spec.ID)
+		l.fleet.At(s.Machine).Stop(h, h.Job.Spec.SaveS)
 	}
 	for i, n := range plan.Starved {
 		if n > 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -237,7 +237,7 @@
 	delete(f.byName, name)
 	m.Gone = true
 	var out []Outcome
-	for _, h := range m.sorted() {
+	for _, h := range m.Sorted() {
 		out = append(out, Outcome{h, CauseLost})
 	}
 	m.Holds = nil
@@ -245,13 +245,19 @@
 	return out
 }
 
-// sorted returns the holds in a fixed order, so that runs repeat.
-func (m *Machine) sorted() []*Hold {
+// Sorted returns the holds in a fixed order, so that runs repeat.
+func (m *Machine) Sorted() []*Hold {
 	out := make([]*Hold, 0, len(m.Holds))
 	for _, h := range m.Holds {
 		out = append(out, h)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Try < out[j].Try })
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if a.Try != b.Try {
+			return a.Try < b.Try
+		}
+		return a.Task < b.Task // the tasks of a gang share a try
+	})
 	return out
 }
 
@@ -276,7 +282,7 @@
 	for _, t := range r.Tasks {
 		m.Seen[key{t.Task, t.Try}] = Seen{t.Status, t.Cause}
 	}
-	for _, h := range m.sorted() {
+	for _, h := range m.Sorted() {
 		k := key{h.Name(), h.Try}
 		s, listed := m.Seen[k]
 		switch {
@@ -307,7 +313,7 @@
 func (m *Machine) Orders(token uint64, limit int, settled func(task string) bool, now time.Time) []Order {
 	m.urgent = false
 	var out []Order
-	for _, h := range m.sorted() {
+	for _, h := range m.Sorted() {
 		if len(out) == limit {
 			m.urgent = true
 			return out
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -289,13 +289,19 @@
 	}
 }
 
+// NextTry returns an attempt number never used before. The tasks of a gang that
+// start together share one; of a task, no two attempts have the same.
+func (b *Book) NextTry(term uint64) uint64 {
+	b.seq++
+	return term<<termShift | b.seq
+}
+
 // Start makes an attempt. It must not be sent before a batch has recorded it.
-func (b *Book) Start(j *Job, task int, machine string, session, term uint64, now time.Time) *Attempt {
+func (b *Book) Start(j *Job, task int, try uint64, machine string, session uint64, now time.Time) *Attempt {
 	if j.tasks[task] != Waiting || j.Cancelled {
 		panic(fmt.Sprintf("ledger: start of %s/%d in state %d", j.Spec.ID, task, j.tasks[task]))
 	}
-	b.seq++
-	a := &Attempt{Job: j, Task: task, Try: term<<termShift | b.seq, Machine: machine, Session: session}
+	a := &Attempt{Job: j, Task: task, Try: try, Machine: machine, Session: session}
 	j.tasks[task] = Live
 	j.live[task] = a
 	for j.next < len(j.tasks) && j.tasks[j.next] != Waiting {
