Count the live attempts of cancelled jobs after an election

Excluded: starts of the deposed leader, none of which was sent unrecorded. Guarded by TestCancelledJobReadBeforeItsAttempts; fails with the old check put back.

--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -46,7 +46,7 @@
 	}
 	var cands []cand
 	for j := range b.dirty {
-		if j.ending {
+		if j.over() {
 			cands = append(cands, cand{j, nil, 100 + j.Spec.Rank()})
 			continue
 		}
@@ -220,7 +220,7 @@
 }
 
 func (b *Book) clean(j *Job) {
-	if j.ending {
+	if j.over() {
 		return
 	}
 	for _, c := range j.chunks {
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -117,7 +117,6 @@
 	done    int
 	next    int // no waiting task below it
 	chunks  map[int]*chunk
-	ending  bool
 	orphans []int // chunks to delete after the end is recorded
 }
 
@@ -344,11 +343,15 @@
 	return c
 }
 
-// checkEnd marks a job whose end can be recorded: all tasks done, or cancelled
-// and no attempt left.
+// over tells whether a job's end can be recorded: all tasks done, or cancelled
+// and no attempt left. It is worked out anew each time: a new leader reads a
+// cancelled job before the attempts that are still live.
+func (j *Job) over() bool {
+	return j.done == len(j.tasks) || j.Cancelled && len(j.live) == 0
+}
+
 func (b *Book) checkEnd(j *Job) {
-	if j.done == len(j.tasks) || j.Cancelled && len(j.live) == 0 {
-		j.ending = true
+	if j.over() {
 		b.dirty[j] = struct{}{}
 	}
 }
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,203 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/statestore"
+	"tulipshelf/internal/wire"
+)
+
+var (
+	t0    = time.Unix(1_000_000, 0)
+	fence = statestore.Cond{Key: "lead/term", Rev: 7}
+)
+
+func record(id string, tasks int, cancelled bool) []byte {
+	r := Record{Spec: &job.Spec{ID: id, Shape: job.Array, Priority: "standard", Tasks: tasks, CPUs: 1}, Chunk: 4}
+	if cancelled {
+		r.CancelledMS = t0.UnixMilli()
+	}
+	return wire.Marshal(r)
+}
+
+func put(t *testing.T, b *Book, id string, tasks int, cancelled bool, rev uint64) *Job {
+	t.Helper()
+	j, _, err := b.PutJob(record(id, tasks, cancelled), rev)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+// start makes and records an attempt, as a leader does before it sends it.
+func start(t *testing.T, b *Book, j *Job, task int, rev uint64) *Attempt {
+	t.Helper()
+	a := b.Start(j, task, b.NextTry(1), "vm-1", 1, t0)
+	bt := b.NextBatch(fence, 8, t0)
+	if bt == nil {
+		t.Fatal("start is not written")
+	}
+	starts, _ := b.Committed(bt, rev)
+	if len(starts) != 1 || starts[0] != a || !a.Recorded {
+		t.Fatalf("committed %v", starts)
+	}
+	return a
+}
+
+func hasCond(bt *Batch, key string, rev uint64) bool {
+	for _, c := range bt.Conds {
+		if c.Key == key && c.Rev == rev {
+			return true
+		}
+	}
+	return false
+}
+
+// Safety 2 and 3: a start is conditioned on the term, on the job's record as
+// known, which a cancellation changes, and on the chunk's last revision.
+func TestStartIsConditional(t *testing.T) {
+	b := NewBook()
+	j := put(t, b, "wk-000001", 6, false, 10)
+	a := b.Start(j, 5, b.NextTry(3), "vm-1", 2, t0)
+	bt := b.NextBatch(fence, 8, t0)
+	if !hasCond(bt, fence.Key, 7) || !hasCond(bt, "job/wk-000001", 10) || !hasCond(bt, "job/wk-000001/000001", 0) {
+		t.Fatalf("conditions %v", bt.Conds)
+	}
+	if a.Recorded {
+		t.Fatal("recorded before the batch was committed")
+	}
+	if TryTerm(a.Try) != 3 {
+		t.Fatalf("attempt of term %d", TryTerm(a.Try))
+	}
+	b.Failed(bt)
+	if again := b.NextBatch(fence, 8, t0); again == nil || !hasCond(again, "job/wk-000001/000001", 0) {
+		t.Fatal("a start whose write failed is not written again under the same condition")
+	}
+}
+
+// A hunt found a team over its limit: a new leader read a cancelled job, took
+// it for over since it had not yet read its live attempts, and stopped counting
+// them (hunt-a645-13 and -19 of kapana-orders, simulated).
+func TestCancelledJobReadBeforeItsAttempts(t *testing.T) {
+	old := NewBook()
+	j := put(t, old, "wk-000001", 2, false, 10)
+	start(t, old, j, 0, 11)
+	value := j.chunkValue(0)
+
+	b := NewBook()
+	k := put(t, b, "wk-000001", 2, true, 12)
+	if err := b.PutChunk("wk-000001", 0, value, 11); err != nil {
+		t.Fatal(err)
+	}
+	b.Loaded()
+	if bt := b.NextBatch(fence, 8, t0.Add(time.Minute)); bt != nil {
+		t.Fatalf("job with a live attempt is ended: %+v", bt.Ops)
+	}
+	if k.LiveTasks() != 1 || b.Job("wk-000001") == nil {
+		t.Fatalf("%d live attempts", k.LiveTasks())
+	}
+	b.End(k.LiveAttempt(0), false, t0)
+	bt := b.NextBatch(fence, 8, t0)
+	if bt == nil || len(bt.Ops) != 3 || bt.Ops[0].Put != "end/wk-000001" {
+		t.Fatalf("end is not recorded: %+v", bt)
+	}
+}
+
+func TestEndIsOneTransaction(t *testing.T) {
+	b := NewBook()
+	j := put(t, b, "wk-000001", 1, false, 10)
+	a := start(t, b, j, 0, 11)
+	b.End(a, true, t0)
+	bt := b.NextBatch(fence, 8, t0)
+	if bt == nil || !hasCond(bt, "job/wk-000001", 10) {
+		t.Fatal("end is not conditioned on the job as known")
+	}
+	var f Final
+	if err := wire.Unmarshal(bt.Ops[0].Value, &f); err != nil || f.Status != Done {
+		t.Fatalf("%+v %v", f, err)
+	}
+	_, ended := b.Committed(bt, 12)
+	if len(ended) != 1 || b.Len() != 0 {
+		t.Fatal("job is not over")
+	}
+	// The watch is behind: the job's own record comes by once more.
+	if k := mustIgnore(t, b, record("wk-000001", 1, false), 10); k != nil {
+		t.Fatal("an ended job comes back")
+	}
+}
+
+func mustIgnore(t *testing.T, b *Book, value []byte, rev uint64) *Job {
+	t.Helper()
+	j, news, err := b.PutJob(value, rev)
+	if err != nil || news {
+		t.Fatalf("news %v, %v", news, err)
+	}
+	return j
+}
+
+// The largest job's records respect the limits on values and transactions.
+func TestHundredThousandTasks(t *testing.T) {
+	const valueBytes = 8 << 10
+	b := NewBook()
+	r := Record{Spec: &job.Spec{ID: "wk-000001", Shape: job.Array, Priority: "standard", Tasks: job.MaxTasks, CPUs: 1}, Chunk: ChunkSize(valueBytes)}
+	j, _, err := b.PutJob(wire.Marshal(r), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for task := range 1000 {
+		b.Start(j, task, b.NextTry(1<<20), "vm-000000001", 1<<30, t0)
+	}
+	rev := uint64(1)
+	for {
+		bt := b.NextBatch(fence, 8, t0)
+		if bt == nil {
+			break
+		}
+		rev++
+		if len(bt.Ops) > 8 || len(bt.Conds) > 32 {
+			t.Fatalf("%d changes, %d conditions", len(bt.Ops), len(bt.Conds))
+		}
+		size := 0
+		for _, op := range bt.Ops {
+			if len(op.Value) > valueBytes {
+				t.Fatalf("value of %d bytes", len(op.Value))
+			}
+			size += len(op.Value)
+		}
+		if size > 60<<10 {
+			t.Fatalf("transaction of %d bytes", size)
+		}
+		b.Committed(bt, rev)
+	}
+	n := 0
+	j.Attempts(func(a *Attempt) {
+		if a.Recorded {
+			n++
+		}
+	})
+	if n != 1000 {
+		t.Fatalf("%d starts recorded", n)
+	}
+}
+
+func TestRanges(t *testing.T) {
+	b := NewBook()
+	j := put(t, b, "wk-000001", 4, false, 10)
+	for task := range 4 {
+		a := start(t, b, j, task, uint64(11+task))
+		if task != 1 {
+			b.End(a, true, t0)
+		}
+	}
+	done, live, err := CountDone(j.chunkValue(0))
+	if err != nil || done != 3 || live != 1 {
+		t.Fatalf("done %d, live %d, %v", done, live, err)
+	}
+	for _, bad := range []string{"x", "3-1", "-1", "1-", "0-999999999"} {
+		if eachInRanges(bad, func(int) error { return nil }) == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
