--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"tulipshelf/internal/cloud"
-	"tulipshelf/internal/config"
 	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/intake"
 	"tulipshelf/internal/job"
@@ -565,15 +564,14 @@
 
 // place makes one placement pass.
 func (l *lead) place(now time.Time) {
-	if !l.reign.Valid() {
+	if !l.reign.Valid() || !l.ready(now) {
 		return
 	}
-	ready := l.ready(now)
 	var waiting []*ledger.Job
 	l.book.Jobs(func(j *ledger.Job) {
 		// A gang starts anew only once all of it is gone: a part would wait in vain.
 		parted := j.Spec.Shape == job.Gang && j.LiveTasks() > 0
-		if j.WaitingTasks() > 0 && !parted && (ready || l.hurried(j)) && l.jobs[j].team >= 0 && !now.Before(l.jobs[j].notBefore) {
+		if j.WaitingTasks() > 0 && !parted && l.jobs[j].team >= 0 && !now.Before(l.jobs[j].notBefore) {
 			waiting = append(waiting, j)
 		}
 	})
@@ -642,22 +640,6 @@
 	return l.gathered
 }
 
-// hurried tells whether a job is placed while reports are still gathered, on the
-// machines that have reported.
-//
-// Exception to the design (a new leader gathers reports before placing): jobs of
-// a class that is to start within less than the gathering takes. Limits hold
-// all the same, since they are counted on the records. Forced by the crashes of
-// the troubles and rough days of kapana-orders.
-func (l *lead) hurried(j *ledger.Job) bool {
-	for _, o := range l.n.settings.Objectives {
-		if o.Kind == config.KindWait && o.Class == j.Spec.Class && o.Within < l.n.operator.Gather {
-			return true
-		}
-	}
-	return false
-}
-
 func (l *lead) allReported() bool {
 	all := true
 	l.fleet.Each(func(m *fleet.Machine) {
