--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -27,7 +27,7 @@
 		Smoothing:   4 * time.Second,
 		IndexUpdate: time.Second,
 		Gather:      10 * time.Second,
-		LeaderLease: 4 * time.Second,
+		LeaderLease: 2500 * time.Millisecond,
 		Silent:      10 * time.Second,
 		Abandon:     20 * time.Second,
 		IdleReturn:  45 * time.Second,
