--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -30,7 +30,7 @@
 		LeaderLease: 2500 * time.Millisecond,
 		Silent:      10 * time.Second,
 		Abandon:     20 * time.Second,
-		IdleReturn:  45 * time.Second,
+		IdleReturn:  10 * time.Second,
 		Reserve:     0.15,
 	}
 }
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -13,6 +13,7 @@
 	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/job"
 	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/placement"
 	"tulipshelf/internal/rental"
 )
 
@@ -20,6 +21,7 @@
 	refusalPause = 20 * time.Second // a pool that refused is left alone for so long
 	bootPatience = 4                // times the usual boot time, after which a machine is given up
 	maxDeadShare = 3                // one in so many silent machines at once: rather our own network
+	minPaid      = 55 * time.Second // a machine costs 60 s at least
 	cancelLeeway = 0.55             // share of the cancellation time after which a machine is given up
 )
 
@@ -210,7 +212,7 @@
 		ms = append(ms, m)
 		machines = append(machines, rental.Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: v.Free,
 			Usable: v.Open || !m.Known && !m.Failed,
-			Empty:  m.Known && len(m.Holds) == 0 && l.nothingUnsettled(m), Idle: now.Sub(m.IdleSince)})
+			Empty:  m.Known && len(m.Holds) == 0 && l.nothingUnsettled(m), Idle: min(now.Sub(m.IdleSince), now.Sub(m.Created)-minPaid+l.n.operator.IdleReturn)})
 	})
 	var pools []rental.Pool
 	for t := range l.types {
@@ -261,27 +263,34 @@
 }
 
 // demand returns the tasks that should get a machine soon, the most important
-// first, and behind them the reserve.
+// first, and behind them the reserve. Running tasks are left out.
 func (l *lead) demand(now time.Time) []rental.Demand {
-	var jobs []*ledger.Job
 	used := l.teams()
+	var whole, arrays []*ledger.Job
 	l.book.Jobs(func(j *ledger.Job) {
-		if j.WaitingTasks() > 0 && l.jobs[j].team >= 0 {
-			jobs = append(jobs, j)
-		}
-	})
-	sort.Slice(jobs, func(x, y int) bool {
-		a, b := jobs[x], jobs[y]
-		if a.Spec.Rank() != b.Spec.Rank() {
-			return a.Spec.Rank() > b.Spec.Rank()
+		switch {
+		case l.jobs[j].team < 0 || j.WaitingTasks() == 0:
+		case j.Spec.Shape == job.Array:
+			arrays = append(arrays, j)
+		default:
+			whole = append(whole, j)
 		}
-		return a.Arrival < b.Arrival
 	})
+	byImportance := func(jobs []*ledger.Job) {
+		sort.Slice(jobs, func(x, y int) bool {
+			a, b := jobs[x], jobs[y]
+			if a.Spec.Rank() != b.Spec.Rank() {
+				return a.Spec.Rank() > b.Spec.Rank()
+			}
+			return a.Arrival < b.Arrival
+		})
+	}
+	byImportance(whole)
+	byImportance(arrays)
 	var out []rental.Demand
-	for _, j := range jobs {
+	add := func(j *ledger.Job, n int) int {
 		st := l.jobs[j]
 		team := &used[st.team]
-		n := min(j.WaitingTasks(), l.wanted(j, now))
 		if c := j.Spec.CPUs; c > 0 {
 			n = min(n, int((team.CPUsMax-team.CPUsUsed)/c+1e-6))
 		}
@@ -289,26 +298,65 @@
 			n = min(n, int((team.GPUsMax-team.GPUsUsed)/g+1e-6))
 		}
 		if n <= 0 {
-			continue
+			return 0
 		}
 		team.CPUsUsed += float64(n) * j.Spec.CPUs
 		team.GPUsUsed += float64(n) * j.Spec.GPUs
 		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: st.zone, Spot: j.Spec.Spot, Tasks: n})
+		return n
+	}
+	for _, j := range whole {
+		add(j, j.WaitingTasks())
+	}
+	out = append(out, l.reserve()...)
+	// Arrays share what they need together: their tasks take turns on a machine.
+	turns := l.arrayTasks(now)
+	for _, j := range arrays {
+		if turns <= 0 {
+			break
+		}
+		turns -= add(j, min(j.WaitingTasks(), turns))
+	}
+	return out
+}
+
+// arrayTasks returns how many tasks of arrays should run at once, beside those
+// that do.
+func (l *lead) arrayTasks(now time.Time) int {
+	live, boot := 0, 0.0
+	var works []rental.Work
+	for i := range l.types {
+		boot = math.Max(boot, l.types[i].BootS)
 	}
-	return append(out, l.reserve()...)
+	l.book.Jobs(func(j *ledger.Job) {
+		if j.Spec.Shape != job.Array || j.Cancelled || l.jobs[j].team < 0 {
+			return
+		}
+		live += j.LiveTasks()
+		run := math.Max(j.Spec.ExpectS, 1) + l.fetchSeconds(j)
+		works = append(works, rental.Work{Due: l.dueIn(j, now).Seconds(), Run: run,
+			Seconds: run * (float64(j.WaitingTasks()) + float64(j.LiveTasks())/2)})
+	})
+	slots := live
+	l.fleet.Each(func(m *fleet.Machine) {
+		if m.Type >= 0 && m.Retire == "" && !m.Sick {
+			v := l.view(m, now)
+			slots += int(v.Free[placement.CPU] + 1e-6) // tasks of one CPU: about what it takes
+		}
+	})
+	return rental.Slots(works, slots, boot) - live
 }
 
-// wanted returns how many tasks of a job should run at once, beside those that
-// do, for it to end in time: all replicas of a service and tasks of a gang; of an array as many as
-// leave each machine time for several tasks in turn.
-func (l *lead) wanted(j *ledger.Job, now time.Time) int {
-	if j.Spec.Shape != job.Array {
-		return j.WaitingTasks()
+// fetchSeconds is about how long a machine takes to fetch a job's image.
+func (l *lead) fetchSeconds(j *ledger.Job) float64 {
+	rate := 0.0
+	for i := range l.types {
+		rate = math.Max(rate, l.types[i].FetchRate)
+	}
+	if rate <= 0 {
+		return 0
 	}
-	run := math.Max(j.Spec.ExpectS, 1)
-	left := l.dueIn(j, now).Seconds()
-	turns := math.Max(1, math.Floor(left/(1.3*run)))
-	return int(math.Ceil(float64(j.WaitingTasks()+j.LiveTasks())/turns)) - j.LiveTasks()
+	return j.Spec.ImageGB / rate
 }
 
 // dueIn returns the time until a job should be complete, by its own deadline or
@@ -325,7 +373,7 @@
 	if due == 0 {
 		due = 4 * j.Spec.Expect()
 	}
-	return max(0, due-now.Sub(j.At))
+	return due - now.Sub(j.At)
 }
 
 // reserve keeps room free for services to come, which start at once or miss
--- /dev/null
+++ b/internal/rental/slots.go
@@ -0,0 +1,45 @@
+package rental
+
+import (
+	"math"
+	"sort"
+)
+
+// Work is what is left of one array: how long until it is due, how long one
+// task takes and how much run time is left in all, in seconds.
+type Work struct {
+	Due     float64
+	Run     float64
+	Seconds float64
+}
+
+// margin covers the unevenness of tasks: the last ones of an array rarely end
+// together.
+const margin = 1.15
+
+// Slots returns how many tasks of the works should run at once, given how many
+// can on the machines there are. It takes the works in order of their due time
+// and compares what is to be done by each with what can be done by then. New
+// machines help only after boot seconds; where they come too late for the due
+// time, they are asked for only as far as the work would outlast their first
+// tasks.
+func Slots(works []Work, have int, boot float64) int {
+	sort.Slice(works, func(i, j int) bool { return works[i].Due < works[j].Due })
+	need, total := 0.0, 0.0
+	for _, w := range works {
+		total += w.Seconds * margin
+		due := math.Max(w.Due, w.Run)
+		need = math.Max(need, math.Min(total/due, float64(have)))
+		if short := total - float64(have)*due; short <= 0 {
+			continue
+		}
+		help := due - boot
+		if help < w.Run {
+			help = 1.5 * w.Run
+		}
+		if short := total - float64(have)*(boot+help); short > 0 {
+			need = math.Max(need, float64(have)+short/help)
+		}
+	}
+	return int(math.Ceil(need))
+}
