--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -17,6 +17,7 @@
 	"tulipshelf/internal/leadership"
 	"tulipshelf/internal/ledger"
 	"tulipshelf/internal/placement"
+	"tulipshelf/internal/rental"
 	"tulipshelf/internal/statestore"
 	"tulipshelf/internal/wire"
 )
@@ -51,6 +52,8 @@
 	pushers   map[string]*wire.Client
 	starved   map[*ledger.Job]int
 	blocked   map[pool]time.Time
+	offered   rental.Offered
+	lastArray *jobState
 	rentSeq   int
 	renting   map[string]int // machines asked for and not yet answered, by request
 }
@@ -83,6 +86,7 @@
 		index: map[*fleet.Machine]*placement.Index{}, jobs: map[*ledger.Job]*jobState{},
 		pushers: map[string]*wire.Client{}, starved: map[*ledger.Job]int{},
 		blocked: map[pool]time.Time{}, renting: map[string]int{},
+		offered: rental.Offered{Memory: 150 * time.Second},
 		started: time.Now(), firstTerm: r.Term(),
 	}
 	for _, z := range n.settings.Zones {
@@ -268,6 +272,10 @@
 		st.types[i] = intake.Allows(s, &l.types[i])
 	}
 	l.jobs[j] = st
+	if s.Shape == job.Array && !j.Cancelled {
+		l.offered.Add(float64(s.Tasks)*s.ExpectS, time.Now())
+		l.lastArray = st
+	}
 }
 
 // watch follows the jobs that users submit and cancel on any node.
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -22,6 +22,7 @@
 	bootPatience = 4                // times the usual boot time, after which a machine is given up
 	maxDeadShare = 3                // one in so many silent machines at once: rather our own network
 	minPaid      = 55 * time.Second // a machine costs 60 s at least
+	baseline     = 0.6              // share of the usual load of arrays for which machines are kept
 	cancelLeeway = 0.55             // share of the cancellation time after which a machine is given up
 )
 
@@ -317,6 +318,11 @@
 		}
 		turns -= add(j, min(j.WaitingTasks(), turns))
 	}
+	// Room kept for arrays to come, of the kind of the last one.
+	if turns > 0 && l.lastArray != nil {
+		st := l.lastArray
+		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: -1, Spot: true, Tasks: turns})
+	}
 	return out
 }
 
@@ -344,7 +350,7 @@
 			slots += int(v.Free[placement.CPU] + 1e-6) // tasks of one CPU: about what it takes
 		}
 	})
-	return rental.Slots(works, slots, boot) - live
+	return max(rental.Slots(works, slots, boot), int(l.offered.Rate(now)*baseline+0.5)) - live
 }
 
 // fetchSeconds is about how long a machine takes to fetch a job's image.
--- /dev/null
+++ b/internal/rental/offered.go
@@ -0,0 +1,43 @@
+package rental
+
+import (
+	"math"
+	"time"
+)
+
+// Offered estimates the load that arrivals bring: run time that arrives in a
+// second, which is the number of tasks that run at once on average.
+type Offered struct {
+	Memory time.Duration // how fast the past is forgotten
+	sum    float64
+	start  time.Time
+	last   time.Time
+}
+
+// Add counts work that arrives at now, in seconds of run time.
+func (o *Offered) Add(seconds float64, now time.Time) {
+	o.decay(now)
+	o.sum += seconds
+}
+
+// Rate returns the estimate.
+func (o *Offered) Rate(now time.Time) float64 {
+	if o.start.IsZero() {
+		return 0
+	}
+	o.decay(now)
+	tau := o.Memory.Seconds()
+	// What the estimate has not yet lived to see is not taken for silence.
+	seen := 1 - math.Exp(-now.Sub(o.start).Seconds()/tau)
+	return o.sum / (tau * math.Max(seen, 0.6))
+}
+
+func (o *Offered) decay(now time.Time) {
+	if o.start.IsZero() {
+		o.start, o.last = now, now
+	}
+	if d := now.Sub(o.last); d > 0 {
+		o.sum *= math.Exp(-d.Seconds() / o.Memory.Seconds())
+		o.last = now
+	}
+}
