--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -20,6 +20,7 @@
 	CPUs      float64  `cbor:"cpus"`
 	GPUs      float64  `cbor:"gpus"`
 	RAM       float64  `cbor:"ram_gb"`
+	Disk      float64  `cbor:"local_gb"`
 	FetchRate float64  `cbor:"pull_gb_per_s"`
 	Hourly    float64  `cbor:"hourly"`
 	SpotPrice float64  `cbor:"spot_price"`
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -510,6 +510,9 @@
 		var counts placement.Amounts
 		for _, h := range m.Holds {
 			s := h.Job.Spec
+			if m.Type >= 0 {
+				m.Images.Use(s.Image, s.ImageGB, l.types[m.Type].Disk, now)
+			}
 			for r, n := range [...]float64{placement.CPU: s.CPUs, placement.Memory: s.RAM, placement.GPU: s.GPUs} {
 				if n > 0 {
 					counts[r]++
@@ -601,7 +604,7 @@
 		jobs[i] = placement.Job{ID: i, Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Need: st.need,
 			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
-			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service}
+			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Warm: l.warm(j)}
 		j.Attempts(func(a *ledger.Attempt) {
 			if m := l.fleet.Machine(a.Machine); m != nil && m.Zone >= 0 {
 				jobs[i].InZone[m.Zone]++
@@ -633,6 +636,19 @@
 	}
 }
 
+// warm returns the machines that have a job's image, if a fetch of it takes
+// longer than the index remembers.
+func (l *lead) warm(j *ledger.Job) []bool {
+	if l.fetchSeconds(j) <= l.n.operator.Smoothing.Seconds() {
+		return nil
+	}
+	out := make([]bool, l.fleet.Size())
+	for i := range out {
+		out[i] = l.fleet.At(i).Images.Has(j.Spec.Image)
+	}
+	return out
+}
+
 // ready tells whether the gathering of reports is over: after the design's time,
 // or sooner.
 //
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -120,6 +120,7 @@
 	Retire  string // why it is being returned, empty: it is not
 	Gone    bool
 
+	Images    Images
 	IdleSince time.Time
 	urgent    bool // commands wait to be pushed
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -40,10 +40,11 @@
 	Spot     bool
 	OneZone  bool
 	Apart    bool
-	Gang     bool  // placed whole or not at all
-	Tasks    int   // of the job in all
-	InZone   []int // of its tasks not done or now on machines, by zone
-	Urgent   bool  // may preempt
+	Gang     bool   // placed whole or not at all
+	Tasks    int    // of the job in all
+	InZone   []int  // of its tasks not done or now on machines, by zone
+	Urgent   bool   // may preempt
+	Warm     []bool // machines that have its image, where that comes before the index; nil: nowhere
 }
 
 // Team is a team's limit and what its tasks use now.
@@ -174,11 +175,25 @@
 
 // best returns the fitting machine with the lowest index, the first of equals,
 // or -1. only, if not negative, names the zone.
+//
+// Exception to the design: where j.Warm is given, a machine that has the job's
+// image comes before one that has not. It is given for images that take longer
+// to fetch than the index remembers; on omaruru-fares a fetch of 20 s kept
+// machines paid and idle and services from their start aim.
 func (p *planner) best(j *Job, only int) int {
 	best := -1
+	before := func(i int) bool {
+		if best < 0 {
+			return true
+		}
+		if j.Warm != nil && j.Warm[i] != j.Warm[best] {
+			return j.Warm[i]
+		}
+		return p.machines[i].Load < p.machines[best].Load
+	}
 	for i := range p.machines {
 		m := &p.machines[i]
-		if !m.Open || (best >= 0 && m.Load >= p.machines[best].Load) {
+		if !m.Open || !before(i) {
 			continue
 		}
 		if !m.Free.Fits(j.Need) || !j.Allows(m) || (only >= 0 && m.Zone != only) {
