--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -440,6 +440,12 @@
 	for _, o := range outcomes {
 		l.outcome(m, o, now)
 	}
+	for _, h := range m.Holds {
+		if h.Running.Equal(now) {
+			slog.Debug("attempt running", "task", h.Name(), "try", h.Try, "machine", m.Name,
+				"placed_s", h.Since.Sub(h.Job.At).Seconds(), "running_s", now.Sub(h.Job.At).Seconds())
+		}
+	}
 	return m
 }
 
@@ -598,13 +604,14 @@
 		held[i] = l.fleet.At(i).Sorted()
 	}
 	jobs := make([]placement.Job, len(waiting))
+	warm := map[string][]bool{}
 	for i, j := range waiting {
 		st := l.jobs[j]
 		s := j.Spec
 		jobs[i] = placement.Job{ID: i, Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Need: st.need,
 			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
-			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Warm: l.warm(j)}
+			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Warm: l.warm(j, warm)}
 		j.Attempts(func(a *ledger.Attempt) {
 			if m := l.fleet.Machine(a.Machine); m != nil && m.Zone >= 0 {
 				jobs[i].InZone[m.Zone]++
@@ -622,6 +629,7 @@
 			tries[a.Job] = l.book.NextTry(l.reign.Term())
 		}
 		h := m.Hold(l.book.Start(j, task, tries[a.Job], m.Name, m.Session, now), now)
+		m.Images.Use(j.Spec.Image, j.Spec.ImageGB, l.types[m.Type].Disk, now)
 		slog.Debug("attempt placed", "task", h.Name(), "try", h.Try, "machine", m.Name)
 	}
 	for _, s := range plan.Stops {
@@ -637,16 +645,21 @@
 }
 
 // warm returns the machines that have a job's image, if a fetch of it takes
-// longer than the index remembers.
-func (l *lead) warm(j *ledger.Job) []bool {
+// longer than the index remembers. Jobs with the same image share the list, so
+// that one pass sends them to the same machines.
+func (l *lead) warm(j *ledger.Job, lists map[string][]bool) []bool {
 	if l.fetchSeconds(j) <= l.n.operator.Smoothing.Seconds() {
 		return nil
 	}
-	out := make([]bool, l.fleet.Size())
-	for i := range out {
-		out[i] = l.fleet.At(i).Images.Has(j.Spec.Image)
+	list := lists[j.Spec.Image]
+	if list == nil {
+		list = make([]bool, l.fleet.Size())
+		for i := range list {
+			list[i] = l.fleet.At(i).Images.Has(j.Spec.Image)
+		}
+		lists[j.Spec.Image] = list
 	}
-	return out
+	return list
 }
 
 // ready tells whether the gathering of reports is over: after the design's time,
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -137,6 +137,9 @@
 	p.machines[m].Free = p.machines[m].Free.Add(j.Need, -1)
 	p.teams[j.Team].use(j.Need, 1)
 	j.InZone[p.machines[m].Zone]++
+	if j.Warm != nil {
+		j.Warm[m] = true
+	}
 	p.out.Assign = append(p.out.Assign, Assignment{i, m})
 }
 
