--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -68,7 +68,7 @@
 			}
 		},
 	}
-	n.peers = &peer.Net{Node: s.Node, Known: n.candidate.Leader, Served: n.served, Learned: n.candidate.Learn, Changed: n.onChanged}
+	n.peers = &peer.Net{Node: s.Node, Known: n.candidate.Leader, Learned: n.candidate.Learn, Changed: n.onChanged}
 	for _, p := range s.Peers {
 		n.peers.Others = append(n.peers.Others, peer.Other{Node: p.Node, Addr: p.Addr})
 	}
@@ -173,19 +173,13 @@
 	}
 }
 
-func (n *Node) served() bool { return n.store.Served(4 * time.Second) }
-
 func (n *Node) serve(ctx context.Context, req *wire.Request) wire.Response {
 	switch {
 	case req.Path == "/ready":
 		if req.Method != "GET" {
 			return wire.Response{Status: 405}
 		}
-		// While the state service serves nobody, users are as well off here as
-		// anywhere: they are told at once when to come back, and need not wait for
-		// the load balancer to find the node healthy again. A node that alone is
-		// refused sends them to the others.
-		if n.types.Load() == nil || !n.served() && n.peers.OtherServed(4*time.Second) {
+		if n.types.Load() == nil || !n.store.Served(4*time.Second) {
 			return wire.Response{Status: 503, RetryAfter: 1}
 		}
 		return wire.Response{Status: 200}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,14 +35,12 @@
 	Node    string
 	Others  []Other
 	Known   func() (leader string, term uint64) // what this node knows
-	Served  func() bool                         // whether the state service serves this node
 	Learned func(leader string, term uint64)    // what another node knows
 	Changed func(jobs []string)                 // jobs changed elsewhere
 
 	mu      sync.Mutex
 	clients map[string]*wire.Client
 	heard   map[string]time.Time
-	served  map[string]time.Time // when a node last said that it is served
 }
 
 const (
@@ -77,21 +75,9 @@
 	return ok && time.Since(t) < d
 }
 
-// OtherServed tells whether the state service served another node within d.
-func (n *Net) OtherServed(d time.Duration) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, t := range n.served {
-		if time.Since(t) < d {
-			return true
-		}
-	}
-	return false
-}
-
 func (n *Net) own() []byte {
 	leader, term := n.Known()
-	return marshal(&Beat{Node: n.Node, Term: term, Leader: leader, Served: n.Served()})
+	return marshal(&Beat{Node: n.Node, Term: term, Leader: leader})
 }
 
 func marshal(m proto.Message) []byte {
@@ -143,12 +129,9 @@
 	}
 	n.mu.Lock()
 	if n.heard == nil {
-		n.heard, n.served = map[string]time.Time{}, map[string]time.Time{}
+		n.heard = map[string]time.Time{}
 	}
 	n.heard[b.Node] = time.Now()
-	if b.Served {
-		n.served[b.Node] = time.Now()
-	}
 	n.mu.Unlock()
 	n.Learned(b.Leader, b.Term)
 	return true
