--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -203,6 +203,26 @@
 	return wire.Response{Status: 421, Body: wire.Marshal(map[string]string{"foreman": leader})}
 }
 
+// Times of lodging: how recently the state service must have named the leader,
+// and for how long the leader must not have been heard. A leader that has died
+// loses its key sooner than that.
+const (
+	lodgeConfirmed = 8 * time.Second
+	lodgeUnheard   = 5 * time.Second
+)
+
+// lodge answers a worker in the place of a leader that this node, and so
+// probably the worker, cannot reach: with the leader's token and no commands, so
+// that the worker's lease and its tasks outlive a cut between zones. Once the
+// leader is heard again the worker is sent back to it.
+func (n *Node) lodge(r *fleet.Report) (wire.Response, bool) {
+	leader, term, ok := n.candidate.Confirmed(lodgeConfirmed)
+	if !ok || leader == n.settings.Node || r.Token > term || n.peers.Heard(leader, lodgeUnheard) {
+		return wire.Response{}, false
+	}
+	return wire.Response{Status: 200, Body: wire.Marshal(fleet.Answer{Token: term})}, true
+}
+
 func (n *Node) report(ctx context.Context, body []byte) wire.Response {
 	var r fleet.Report
 	if err := wire.Unmarshal(body, &r); err != nil || r.Machine == "" || r.Session == 0 {
@@ -210,6 +230,9 @@
 	}
 	l := n.lead.Load()
 	if l == nil {
+		if resp, ok := n.lodge(&r); ok {
+			return resp
+		}
 		return n.redirect()
 	}
 	resp := wire.Response{Status: 503, RetryAfter: 1}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -77,6 +77,7 @@
 	mu     sync.Mutex
 	leader string
 	term   uint64
+	seen   time.Time          // when the leader key was last read and named another node
 	ruling *Reign             // while this node leads
 	depose context.CancelFunc // ends it
 }
@@ -88,6 +89,14 @@
 	return c.leader, c.term
 }
 
+// Confirmed returns the leader and its term if the state service has named them
+// within d.
+func (c *Candidate) Confirmed(d time.Duration) (leader string, term uint64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader, c.term, c.leader != "" && time.Since(c.seen) < d
+}
+
 func (c *Candidate) note(leader string, term uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -183,6 +192,9 @@
 	// without waiting for the lease to end.
 	if s.hrev != 0 && s.holder.Node != c.Node {
 		c.note(s.holder.Node, s.holder.Term)
+		c.mu.Lock()
+		c.seen = time.Now()
+		c.mu.Unlock()
 		if _, _, err := c.Store.Watch(ctx, prefix, s.rev, 5*time.Second); err != nil {
 			return nil, err
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,7 @@
 	Changed func(jobs []string)                 // jobs changed elsewhere
 
 	mu      sync.Mutex
+	began   time.Time
 	clients map[string]*wire.Client
 	heard   map[string]time.Time
 }
@@ -50,6 +51,9 @@
 
 // Run sends beats until ctx ends.
 func (n *Net) Run(ctx context.Context) {
+	n.mu.Lock()
+	n.began = time.Now()
+	n.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, o := range n.Others {
 		wg.Add(1)
@@ -67,12 +71,16 @@
 	wg.Wait()
 }
 
-// Heard tells whether a node has answered a beat within d.
+// Heard tells whether a node has been heard within d, or might have been had
+// this node run for so long.
 func (n *Net) Heard(node string, d time.Duration) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	t, ok := n.heard[node]
-	return ok && time.Since(t) < d
+	if !ok {
+		t = n.began
+	}
+	return time.Since(t) < d
 }
 
 func (n *Net) own() []byte {
