--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -5,14 +5,12 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"sort"
 	"strconv"
 	"sync"
 	"time"
 
 	"tulipshelf/internal/cloud"
-	"tulipshelf/internal/config"
 	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/intake"
 	"tulipshelf/internal/job"
@@ -611,7 +609,7 @@
 	for i, j := range waiting {
 		st := l.jobs[j]
 		s := j.Spec
-		jobs[i] = placement.Job{ID: i, Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Beyond: beyond[j], Late: l.late(j, now), Need: st.need,
+		jobs[i] = placement.Job{ID: i, Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Beyond: beyond[j], Need: st.need,
 			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
 			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Warm: l.warm(j, warm)}
@@ -647,46 +645,6 @@
 	}
 }
 
-// late tells whether a job can still be complete when due (0), within the longest
-// multiple of that which an objective names (1), or not even that (2), if its
-// tasks ran from now on.
-func (l *lead) late(j *ledger.Job, now time.Time) int {
-	if j.Spec.Shape != job.Array {
-		return 0
-	}
-	left := l.dueIn(j, now).Seconds() - j.Spec.ExpectS
-	due := left + j.Spec.ExpectS + now.Sub(j.At).Seconds()
-	switch {
-	case left >= 0:
-		return 0
-	case left+due*(l.patience(j.Spec.Class)-1) >= 0:
-		return 1
-	}
-	return 2
-}
-
-// patience returns the longest multiple of the due time that an objective of
-// the class names.
-func (l *lead) patience(class string) float64 {
-	most, first, last := 1.0, 0.0, 0.0
-	for _, o := range l.n.settings.Objectives {
-		if o.Class != class || o.Kind == config.KindWait {
-			continue
-		}
-		most = math.Max(most, o.Times)
-		if w := o.Within.Seconds(); w > 0 {
-			if first == 0 || w < first {
-				first = w
-			}
-			last = math.Max(last, w)
-		}
-	}
-	if first > 0 {
-		most = math.Max(most, last/first)
-	}
-	return most
-}
-
 // beyond tells which jobs do not fit into their team's guarantee together with
 // the team's earlier unfinished jobs.
 func (l *lead) beyond() map[*ledger.Job]bool {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -33,7 +33,6 @@
 	Team     int
 	Priority int
 	Arrival  uint64
-	Late     int  // 0: can be complete when due; more: the later
 	Beyond   bool // its team has more unfinished work than it is guaranteed
 	Need     Amounts
 	Waiting  int
@@ -115,12 +114,6 @@
 		if a.Beyond != b.Beyond {
 			return b.Beyond
 		}
-		// Exception to the design (arrival): a job that cannot be complete in time any
-		// more yields to those that can. With more work than machines, arrival alone
-		// makes every job late (rough of kapana-orders).
-		if a.Late != b.Late {
-			return a.Late < b.Late
-		}
 		return a.Arrival < b.Arrival
 	})
 	for _, i := range order {
