--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -196,9 +196,6 @@
 		if best < 0 {
 			return true
 		}
-		if p.machines[i].Spot != p.machines[best].Spot {
-			return p.machines[i].Spot
-		}
 		if j.Warm != nil && j.Warm[i] != j.Warm[best] {
 			return j.Warm[i]
 		}
