--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -54,12 +54,6 @@
 	Return []int // positions of machines
 }
 
-// pool is what machines of one price have in common.
-type pool struct {
-	typ, zone int
-	spot      bool
-}
-
 // Plan fits the demand into what is there, rents the cheapest that fits for the
 // rest, and returns machines that have been empty for idleReturn and that the
 // demand does not use. Demand comes in order of importance.
@@ -133,19 +127,8 @@
 			out.Rent = append(out.Rent, Rent{p, n})
 		}
 	}
-	// A cheap machine is kept longer in the same proportion: it costs as much.
-	dearest := 0.0
-	price := map[pool]float64{}
-	for _, p := range pools {
-		dearest = math.Max(dearest, p.Price)
-		price[pool{p.Type, p.Zone, p.Spot}] = p.Price
-	}
 	for i, m := range machines {
-		patience := idleReturn
-		if p := price[pool{m.Type, m.Zone, m.Spot}]; p > 0 {
-			patience = time.Duration(float64(patience) * dearest / p)
-		}
-		if m.Empty && !used[i] && m.Idle >= patience {
+		if m.Empty && !used[i] && m.Idle >= idleReturn {
 			out.Return = append(out.Return, i)
 		}
 	}
