--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -311,7 +311,11 @@
 	}
 	out = append(out, l.reserve()...)
 	// Arrays share what they need together: their tasks take turns on a machine.
-	turns := l.arrayTasks(now)
+	taken := 0.0
+	for _, d := range out {
+		taken += float64(d.Tasks) * d.Need[placement.CPU]
+	}
+	turns := l.arrayTasks(taken, now)
 	for _, j := range arrays {
 		if turns <= 0 {
 			break
@@ -327,8 +331,8 @@
 }
 
 // arrayTasks returns how many tasks of arrays should run at once, beside those
-// that do.
-func (l *lead) arrayTasks(now time.Time) int {
+// that do, if taken CPUs of what is free will go to others.
+func (l *lead) arrayTasks(taken float64, now time.Time) int {
 	live, boot := 0, 0.0
 	var works []rental.Work
 	for i := range l.types {
@@ -343,14 +347,17 @@
 		works = append(works, rental.Work{Due: l.dueIn(j, now).Seconds(), Run: run,
 			Seconds: run * (float64(j.WaitingTasks()) + float64(j.LiveTasks())/2)})
 	})
-	slots := live
+	free := 0.0
 	l.fleet.Each(func(m *fleet.Machine) {
 		if m.Type >= 0 && m.Retire == "" && !m.Sick {
 			v := l.view(m, now)
-			slots += int(v.Free[placement.CPU] + 1e-6) // tasks of one CPU: about what it takes
+			free += v.Free[placement.CPU]
 		}
 	})
-	return max(rental.Slots(works, slots, boot), int(l.offered.Rate(now)*baseline+0.5)) - live
+	slots := live + int(math.Max(0, free-taken)+1e-6) // tasks of one CPU: about what it takes
+	need, usual := rental.Slots(works, slots, boot), l.offered.Rate(now)
+	slog.Debug("arrays sized", "need", need, "usual", usual, "live", live, "slots", slots, "taken", taken)
+	return max(need, int(usual*baseline+0.5)) - live
 }
 
 // fetchSeconds is about how long a machine takes to fetch a job's image.
