--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -22,7 +22,7 @@
 	bootPatience = 4                // times the usual boot time, after which a machine is given up
 	maxDeadShare = 3                // one in so many silent machines at once: rather our own network
 	minPaid      = 55 * time.Second // a machine costs 60 s at least
-	baseline     = 0.6              // share of the usual load of arrays for which machines are kept
+	baseline     = 0.9              // share of the usual load of arrays for which machines are kept
 	cancelLeeway = 0.55             // share of the cancellation time after which a machine is given up
 )
 
