--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -22,7 +22,6 @@
 	bootPatience = 4                // times the usual boot time, after which a machine is given up
 	maxDeadShare = 3                // one in so many silent machines at once: rather our own network
 	minPaid      = 55 * time.Second // a machine costs 60 s at least
-	baseline     = 0.9              // share of the usual load of arrays for which machines are kept
 	cancelLeeway = 0.55             // share of the cancellation time after which a machine is given up
 )
 
@@ -357,7 +356,7 @@
 	slots := live + int(math.Max(0, free-taken)+1e-6) // tasks of one CPU: about what it takes
 	need, usual := rental.Slots(works, slots, boot), l.offered.Rate(now)
 	slog.Debug("arrays sized", "need", need, "usual", usual, "live", live, "slots", slots, "taken", taken)
-	return max(need, int(usual*baseline+0.5)) - live
+	return max(need, int(usual+0.5)) - live
 }
 
 // fetchSeconds is about how long a machine takes to fetch a job's image.
