--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -556,17 +556,12 @@
 		v.Tasks = append(v.Tasks, placement.Task{ID: i, Need: l.jobs[h.Job].need,
 			Priority: h.Job.Spec.Rank(), Team: l.jobs[h.Job].team, Since: h.Since, Stopping: h.Stopping})
 	}
-	v.Load = l.index[m].Value()
-	v.Open = !m.Drain && l.open(m, now)
-	return v
-}
-
-// open tells whether a machine can take new tasks.
-func (l *lead) open(m *fleet.Machine, now time.Time) bool {
 	foreign := false
 	m.Foreign(func(string) { foreign = true })
-	return m.Known && !foreign && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
+	v.Load = l.index[m].Value()
+	v.Open = m.Known && !foreign && !m.Sick && !m.Drain && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
 		now.Sub(m.Heard) < l.n.operator.Silent
+	return v
 }
 
 // teams returns limits and use; every attempt counts that is not proven gone.
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -211,8 +211,7 @@
 		v := l.view(m, now)
 		ms = append(ms, m)
 		machines = append(machines, rental.Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: v.Free,
-			Usable: v.Open || m.Drain && l.open(m, now) || !m.Known && !m.Failed,
-			Pinned: pinned(m),
+			Usable: v.Open || !m.Known && !m.Failed,
 			Empty:  m.Known && len(m.Holds) == 0 && l.nothingUnsettled(m), Idle: min(now.Sub(m.IdleSince), now.Sub(m.Created)-minPaid+l.n.operator.IdleReturn)})
 	})
 	var pools []rental.Pool
@@ -233,9 +232,6 @@
 		}
 	}
 	d := rental.Plan(l.demand(now), machines, pools, l.n.operator.IdleReturn)
-	for i, m := range ms {
-		m.Drain = d.Close[i]
-	}
 	for _, i := range d.Return {
 		m := ms[i]
 		m.Retire = "idle"
@@ -259,16 +255,6 @@
 	return names, asks
 }
 
-// pinned tells whether a machine holds tasks that do not end by themselves.
-func pinned(m *fleet.Machine) bool {
-	for _, h := range m.Holds {
-		if h.Job.Spec.Shape == job.Service && !h.Stopping {
-			return true
-		}
-	}
-	return false
-}
-
 // nothingUnsettled tells whether all results on a machine are written.
 func (l *lead) nothingUnsettled(m *fleet.Machine) bool {
 	ok := true
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -30,7 +30,6 @@
 	Free       placement.Amounts // all of it while it boots
 	Usable     bool              // takes tasks now or once it is up
 	Empty      bool              // returnable without loss
-	Pinned     bool              // holds tasks that do not end by themselves
 	Idle       time.Duration     // empty for so long
 }
 
@@ -52,8 +51,7 @@
 // Decision is the outcome of one pass.
 type Decision struct {
 	Rent   []Rent
-	Return []int  // positions of machines
-	Close  []bool // by position: not needed, so no new tasks, so that it empties
+	Return []int // positions of machines
 }
 
 // Plan fits the demand into what is there, rents the cheapest that fits for the
@@ -77,9 +75,6 @@
 		if a.Empty != b.Empty {
 			return !a.Empty
 		}
-		if a.Pinned != b.Pinned {
-			return a.Pinned
-		}
 		return a.Spot && !b.Spot
 	})
 	type fresh struct {
@@ -132,9 +127,7 @@
 			out.Rent = append(out.Rent, Rent{p, n})
 		}
 	}
-	out.Close = make([]bool, len(machines))
 	for i, m := range machines {
-		out.Close[i] = !used[i] && !m.Pinned
 		if m.Empty && !used[i] && m.Idle >= idleReturn {
 			out.Return = append(out.Return, i)
 		}
