--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/wire"
+)
+
+var update = flag.Bool("update", false, "write the traces anew")
+
+// A trace is a text that people read: lines that begin with ">" are what the
+// code answered, all others are what happens. Each line of input is
+//
+//	start TASK TERM SESSION       an attempt is recorded under the term
+//	decide TASK TERM SESSION      the same, but the record is not yet durable
+//	stop TASK                     its halt is wanted
+//	report SESSION TICK TOKEN [TASK=STATE[/CAUSE]]...
+//	orders TOKEN                  what would be sent
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.trace")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no traces", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			want, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := replay(t, want)
+			if *update {
+				if err := os.WriteFile(file, got, 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !bytes.Equal(got, want) {
+				t.Errorf("trace differs:\n%s", got)
+			}
+		})
+	}
+}
+
+func replay(t *testing.T, trace []byte) []byte {
+	now := time.Unix(0, 0)
+	f := New()
+	m := f.Add("vm-1", now)
+	book := ledger.NewBook()
+	rec := ledger.Record{Spec: &job.Spec{ID: "wk-000001", Shape: job.Array, Priority: "standard", Tasks: 9}, Chunk: 9}
+	j, _, err := book.PutJob(wire.Marshal(rec), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tries := map[string]uint64{}
+	var out bytes.Buffer
+	sc := bufio.NewScanner(bytes.NewReader(trace))
+	for sc.Scan() {
+		line := sc.Text()
+		if strings.HasPrefix(line, ">") {
+			continue
+		}
+		fmt.Fprintln(&out, line)
+		word := strings.Fields(line)
+		if len(word) == 0 || word[0] == "#" {
+			continue
+		}
+		number := func(i int) (n uint64) {
+			if _, err := fmt.Sscan(word[i], &n); err != nil {
+				t.Fatalf("%q: %v", line, err)
+			}
+			return n
+		}
+		name := func(task string) string { return "wk-000001/" + task }
+		now = now.Add(time.Second)
+		switch word[0] {
+		case "start", "decide":
+			a := book.Start(j, int(number(1)), book.NextTry(number(2)), m.Name, number(3), now)
+			a.Recorded = word[0] == "start"
+			tries[word[1]] = a.Try
+			m.Hold(a, now)
+		case "stop":
+			m.Stop(m.Holds[key{name(word[1]), tries[word[1]]}], 0)
+		case "report":
+			r := &Report{Machine: m.Name, Session: number(1), Tick: number(2), Token: number(3)}
+			for _, w := range word[4:] {
+				task, state, _ := strings.Cut(w, "=")
+				status, cause, _ := strings.Cut(state, "/")
+				r.Tasks = append(r.Tasks, TaskReport{Task: name(task), Try: tries[task], Status: status, Cause: cause})
+			}
+			outcomes, fresh := m.Handle(r, now)
+			if !fresh {
+				fmt.Fprintln(&out, "> stale, ignored")
+			}
+			for _, o := range outcomes {
+				cause := o.Cause
+				if cause == CauseLost {
+					cause = "gone"
+				}
+				fmt.Fprintf(&out, "> task %d: %s\n", o.Hold.Task, cause)
+				book.End(o.Hold.Attempt, o.Cause == CauseDone, now)
+			}
+			if fresh && len(outcomes) == 0 {
+				fmt.Fprintln(&out, "> proves nothing")
+			}
+		case "orders":
+			orders := m.Orders(number(1), 10, func(string) bool { return true }, now)
+			for _, o := range orders {
+				fmt.Fprintf(&out, "> %s %s\n", o.Verb, strings.TrimPrefix(o.Task, "wk-000001/"))
+			}
+			if len(orders) == 0 {
+				fmt.Fprintln(&out, "> none")
+			}
+		default:
+			t.Fatalf("%q", line)
+		}
+	}
+	return out.Bytes()
+}
+
+// A machine that was returned stays gone, however late a list or a report of it
+// arrives; its dense index is given to the next one.
+func TestReturnedStaysGone(t *testing.T) {
+	now := time.Unix(0, 0)
+	f := New()
+	a, b := f.Add("vm-1", now), f.Add("vm-2", now)
+	f.Removed("vm-1", now)
+	if f.Add("vm-1", now) != nil {
+		t.Error("vm-1 is back")
+	}
+	if c := f.Add("vm-3", now); c.Index != a.Index || f.Size() != 2 || b.Index == c.Index {
+		t.Errorf("index %d, size %d", c.Index, f.Size())
+	}
+}
+
+func TestImagesForgetOldest(t *testing.T) {
+	var x Images
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	x.Use("a", 4, 10, at(1))
+	x.Use("b", 4, 10, at(2))
+	x.Use("a", 4, 10, at(3))
+	x.Use("c", 4, 10, at(4))
+	if !x.Has("a") || x.Has("b") || !x.Has("c") {
+		t.Errorf("a %v, b %v, c %v", x.Has("a"), x.Has("b"), x.Has("c"))
+	}
+}
--- /dev/null
+++ b/internal/rental/rental_test.go
@@ -0,0 +1,95 @@
+package rental
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"tulipshelf/internal/placement"
+)
+
+func cpus(n float64) placement.Amounts {
+	return placement.Amounts{placement.CPU: n, placement.Memory: n}
+}
+
+func pools() []Pool {
+	return []Pool{
+		{Zone: 0, Spot: true, Price: 0.1, Capacity: cpus(4)},
+		{Zone: 0, Price: 0.2, Capacity: cpus(4)},
+		{Zone: 1, Price: 0.2, Capacity: cpus(4)},
+	}
+}
+
+// The cheapest pool that the tasks may use is rented, spread over zones, and
+// only for what does not fit into the machines there are, booting ones included.
+func TestRent(t *testing.T) {
+	service := Demand{Need: cpus(2), Zone: -1, Tasks: 6}
+	array := Demand{Need: cpus(1), Zone: -1, Spot: true, Tasks: 4}
+	booting := Machine{Zone: 0, Free: cpus(4), Usable: true}
+	d := Plan([]Demand{service, array}, []Machine{booting}, pools(), time.Minute)
+	if want := []Rent{{0, 1}, {1, 1}, {2, 1}}; !reflect.DeepEqual(d.Rent, want) {
+		t.Errorf("rent %v, want %v", d.Rent, want)
+	}
+	blocked := pools()
+	blocked[0].Blocked = true
+	d = Plan([]Demand{array}, nil, blocked, time.Minute)
+	if want := []Rent{{1, 1}}; !reflect.DeepEqual(d.Rent, want) {
+		t.Errorf("spot refused: rent %v, want %v", d.Rent, want)
+	}
+	d = Plan([]Demand{{Need: cpus(5), Zone: -1, Tasks: 1}}, nil, pools(), time.Minute)
+	if len(d.Rent) != 0 {
+		t.Errorf("rent %v for what fits nowhere", d.Rent)
+	}
+}
+
+// Only empty machines go back, once idle for long enough and not needed.
+func TestReturn(t *testing.T) {
+	machines := []Machine{
+		{Free: cpus(4), Usable: true, Empty: true, Idle: time.Minute},
+		{Free: cpus(4), Usable: true, Empty: true, Idle: time.Minute},
+		{Free: cpus(3), Usable: true},
+		{Free: cpus(4), Usable: true, Empty: true, Idle: time.Second},
+	}
+	d := Plan([]Demand{{Need: cpus(1), Zone: -1, Tasks: 4}}, machines, pools(), 10*time.Second)
+	if want := []int{1}; !reflect.DeepEqual(d.Return, want) {
+		t.Errorf("return %v, want %v", d.Return, want)
+	}
+}
+
+func TestSlots(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		works []Work
+		have  int
+		want  int
+	}{
+		{"nothing to do", nil, 10, 0},
+		{"tasks take turns on what is there", []Work{{Due: 100, Run: 10, Seconds: 100}}, 10, 2},
+		{"short by its due time, new machines in time", []Work{{Due: 100, Run: 10, Seconds: 2000}}, 10, 36},
+		{"due sooner than a machine boots, done before one would be up", []Work{{Due: 30, Run: 10, Seconds: 400}}, 10, 10},
+		{"late already: not more than halves the wait", []Work{{Due: -5, Run: 20, Seconds: 4000}}, 20, 120},
+	} {
+		if got := Slots(x.works, x.have, 50); got != x.want {
+			t.Errorf("%s: %d, want %d", x.name, got, x.want)
+		}
+	}
+}
+
+func TestOffered(t *testing.T) {
+	o := Offered{Memory: 100 * time.Second}
+	now := time.Unix(0, 0)
+	if o.Rate(now) != 0 {
+		t.Error("load before any arrival")
+	}
+	for range 1000 { // 20 s of run time each second
+		o.Add(20, now)
+		now = now.Add(time.Second)
+	}
+	if got := o.Rate(now); math.Abs(got-20) > 0.5 {
+		t.Errorf("steady load %v, want 20", got)
+	}
+	if got := o.Rate(now.Add(100 * time.Second)); math.Abs(got-20/math.E) > 0.5 {
+		t.Errorf("after a silence as long as the memory %v", got)
+	}
+}
--- /dev/null
+++ b/internal/wire/server_test.go
@@ -0,0 +1,128 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tidwall/evio"
+)
+
+// loopConn stands for evio: it passes bytes to a connection as the loop does
+// and keeps what comes back.
+type loopConn struct {
+	mu     sync.Mutex
+	link   *link
+	out    strings.Builder
+	closed bool
+}
+
+func (c *loopConn) Context() any         { return c.link }
+func (c *loopConn) SetContext(any)       {}
+func (c *loopConn) AddrIndex() int       { return 0 }
+func (c *loopConn) LocalAddr() net.Addr  { return nil }
+func (c *loopConn) RemoteAddr() net.Addr { return nil }
+func (c *loopConn) Wake()                { c.data("") }
+
+func (c *loopConn) data(in string) {
+	out, action := c.link.exchange([]byte(in))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out.Write(out)
+	if action == evio.Close && !c.closed {
+		c.closed = true
+		close(c.link.gone)
+	}
+}
+
+func (c *loopConn) sent() (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.out.String(), c.closed
+}
+
+func converse(t *testing.T, f func(*loopConn)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{IdleTimeout: time.Minute, ReadTimeout: 10 * time.Second, Handler: func(ctx context.Context, r *Request) Response {
+			if r.Path == "/busy" {
+				<-ctx.Done()
+			}
+			return Response{Status: 200, Body: []byte(r.Path + string(r.Body))}
+		}}
+		c := &loopConn{}
+		c.link = &link{conn: c, more: make(chan struct{}, 1), gone: make(chan struct{})}
+		ctx, cancel := context.WithCancel(context.Background())
+		go s.converse(ctx, c.link)
+		f(c)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestConnectionAnswersInTurn(t *testing.T) {
+	converse(t, func(c *loopConn) {
+		c.data("GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Len")
+		time.Sleep(time.Second)
+		c.data("gth: 1\r\n\r\nx")
+		time.Sleep(time.Second)
+		c.data("GET /c HTTP/1.1\r\nConnection: close\r\n\r\n")
+		time.Sleep(time.Second)
+		out, closed := c.sent()
+		if strings.Count(out, "200 OK") != 3 || !strings.Contains(out, "/bx") || !closed {
+			t.Errorf("closed %v: %q", closed, out)
+		}
+	})
+}
+
+func TestConnectionMalformed(t *testing.T) {
+	converse(t, func(c *loopConn) {
+		c.data("nonsense\r\n\r\nGET /a HTTP/1.1\r\n\r\n")
+		time.Sleep(time.Second)
+		out, closed := c.sent()
+		if !strings.HasPrefix(out, "HTTP/1.1 400") || strings.Contains(out, "200 OK") || !closed {
+			t.Errorf("closed %v: %q", closed, out)
+		}
+	})
+}
+
+func TestConnectionSlowAndIdle(t *testing.T) {
+	converse(t, func(c *loopConn) {
+		c.data("GET /a HTT")
+		time.Sleep(9 * time.Second)
+		if _, closed := c.sent(); closed {
+			t.Error("closed before the time to read is over")
+		}
+		time.Sleep(2 * time.Second)
+		if _, closed := c.sent(); !closed {
+			t.Error("a slow peer is kept")
+		}
+	})
+	converse(t, func(c *loopConn) {
+		time.Sleep(59 * time.Second)
+		if _, closed := c.sent(); closed {
+			t.Error("closed before the idle time is over")
+		}
+		time.Sleep(2 * time.Second)
+		if _, closed := c.sent(); !closed {
+			t.Error("a silent peer is kept")
+		}
+	})
+}
+
+func TestConnectionBounded(t *testing.T) {
+	converse(t, func(c *loopConn) {
+		c.data("GET /busy HTTP/1.1\r\n\r\n")
+		synctest.Wait()
+		for range 100 {
+			c.data(strings.Repeat("x", 2000))
+		}
+		if _, closed := c.sent(); !closed {
+			t.Error("a peer may send without end")
+		}
+	})
+}
