--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -20,6 +20,7 @@
 const (
 	refusalPause = 20 * time.Second // a pool that refused is left alone for so long
 	bootPatience = 4                // times the usual boot time, after which a machine is given up
+	bootOverdue  = 1.6              // times the usual boot time, after which it is not counted on
 	maxDeadShare = 3                // one in so many silent machines at once: rather our own network
 	minPaid      = 55 * time.Second // a machine costs 60 s at least
 	cancelLeeway = 0.55             // share of the cancellation time after which a machine is given up
@@ -79,6 +80,12 @@
 	return time.Duration(bootPatience * l.types[m.Type].BootS * float64(time.Second))
 }
 
+// overdueBoot tells whether a machine has taken longer to boot than any that is
+// in order. It may never come up, so what it was rented for is rented again.
+func (l *lead) overdueBoot(m *fleet.Machine, now time.Time) bool {
+	return m.Type >= 0 && now.Sub(m.Created).Seconds() > bootOverdue*l.types[m.Type].BootS
+}
+
 func (l *lead) overdueCancel(m *fleet.Machine, now time.Time) bool {
 	limit := time.Duration(cancelLeeway * float64(l.n.settings.Workers.Cancel))
 	for _, h := range m.Holds {
@@ -211,7 +218,7 @@
 		v := l.view(m, now)
 		ms = append(ms, m)
 		machines = append(machines, rental.Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: v.Free,
-			Usable: v.Open || !m.Known && !m.Failed,
+			Usable: v.Open || !m.Known && !m.Failed && !l.overdueBoot(m, now),
 			Empty:  m.Known && len(m.Holds) == 0 && l.nothingUnsettled(m), Idle: min(now.Sub(m.IdleSince), now.Sub(m.Created)-minPaid+l.n.operator.IdleReturn)})
 	})
 	var pools []rental.Pool
@@ -348,7 +355,7 @@
 	})
 	free := 0.0
 	l.fleet.Each(func(m *fleet.Machine) {
-		if m.Type >= 0 && m.Retire == "" && !m.Sick {
+		if m.Type >= 0 && m.Retire == "" && !m.Sick && (m.Known || !l.overdueBoot(m, now)) {
 			v := l.view(m, now)
 			free += v.Free[placement.CPU]
 		}
