Relay reports and commands through the state service across a cut

Excluded: leases, which lodging keeps. The node on the workers' side now writes their reports to the state service and hands out the leader's commands.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -422,3 +422,23 @@
 		}
 	})
 }
+
+// Machines on the far side of a cut go on being used: reports and commands go
+// through the state service.
+func TestRelay(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.submit(0, submission("wk-000001", job.Service, 10, 0))
+		c.until("service runs", time.Minute, func() bool { return c.referee.On() == 10 })
+		c.cutZone()
+		time.Sleep(15 * time.Second)
+		c.submit(0, submission("wk-000002", job.Array, 2, 5))
+		c.until("array done on the machines cut off", 30*time.Second, c.done("wk-000002"))
+		c.ask(0, "POST", "/v1/jobs/wk-000001/abort", nil)
+		c.until("service stopped without returning machines", 15*time.Second, func() bool { return c.referee.On() == 0 })
+		if got := c.cloud.Returned(); len(got) != 0 {
+			t.Errorf("returned %v", got)
+		}
+		c.net.Cut(nil)
+	})
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -55,7 +55,8 @@
 	offered   rental.Offered
 	lastArray *jobState
 	rentSeq   int
-	renting   map[string]int // machines asked for and not yet answered, by request
+	relays    map[string]*relayed // by node
+	renting   map[string]int      // machines asked for and not yet answered, by request
 }
 
 // jobState is what the leader knows of a job beyond its record.
@@ -85,7 +86,7 @@
 		book: ledger.NewBook(), fleet: fleet.New(),
 		index: map[*fleet.Machine]*placement.Index{}, jobs: map[*ledger.Job]*jobState{},
 		pushers: map[string]*wire.Client{}, starved: map[*ledger.Job]int{},
-		blocked: map[pool]time.Time{}, renting: map[string]int{},
+		blocked: map[pool]time.Time{}, renting: map[string]int{}, relays: map[string]*relayed{},
 		offered: rental.Offered{Memory: 150 * time.Second},
 		started: time.Now(), firstTerm: r.Term(),
 	}
@@ -149,6 +150,7 @@
 	l.loaded = true
 	l.spawn(func() { l.watch(ctx, rev, cancel) })
 	l.spawn(func() { l.rent(ctx) })
+	l.spawn(func() { l.followRelay(ctx) })
 	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
 	slow := time.Now()
@@ -171,6 +173,7 @@
 		l.place(now)
 		l.write(now, cancel)
 		l.push(now)
+		l.writeRelay(now)
 	}
 }
 
@@ -419,6 +422,7 @@
 	if m == nil {
 		return wire.Response{Status: 503, RetryAfter: 1}
 	}
+	m.Via = ""
 	answer := fleet.Answer{Token: term}
 	if r.Session == m.Session && r.Tick == m.Tick && l.reign.Valid() {
 		answer.Orders = m.Orders(term, maxOrders, l.settled, now)
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -18,6 +18,7 @@
 	"tulipshelf/internal/leadership"
 	"tulipshelf/internal/ledger"
 	"tulipshelf/internal/peer"
+	"tulipshelf/internal/relay"
 	"tulipshelf/internal/statestore"
 	"tulipshelf/internal/wire"
 )
@@ -34,6 +35,7 @@
 	intake    *intake.Intake
 	types     atomic.Pointer[[]cloud.Type]
 	peers     *peer.Net
+	lodger    *relay.Lodger
 	changed   chan string // jobs to tell the leader of
 	lead      atomic.Pointer[lead]
 }
@@ -64,6 +66,7 @@
 		store:    statestore.New(net.Dial, s.StateAddr, s.State.RPS*nodeShare, s.State.WriteRPS*nodeShare),
 		cloud:    cloud.New(net.Dial, s.CloudAddr, s.Cloud.RPS*nodeShare),
 	}
+	n.lodger = &relay.Lodger{Node: s.Node, Store: n.store, ValueBytes: s.State.ValueBytes}
 	n.candidate = &leadership.Candidate{Node: s.Node, TTL: o.LeaderLease, Store: n.store}
 	n.intake = &intake.Intake{
 		Store:     n.store,
@@ -124,6 +127,7 @@
 		})
 	}
 	run(n.peers.Run)
+	run(n.lodger.Run)
 	run(n.tellChanged)
 	run(n.keepCatalog)
 	run(func(ctx context.Context) { n.candidate.Run(ctx, n.reign) })
@@ -226,15 +230,16 @@
 )
 
 // lodge answers a worker in the place of a leader that this node, and so
-// probably the worker, cannot reach: with the leader's token and no commands, so
-// that the worker's lease and its tasks outlive a cut between zones. Once the
-// leader is heard again the worker is sent back to it.
+// probably the worker, cannot reach: with the leader's token, so that the worker's
+// lease and its tasks outlive a cut between zones, and with the commands that
+// come through the state service. Once the leader is heard again the worker is
+// sent back to it.
 func (n *Node) lodge(r *fleet.Report) (wire.Response, bool) {
 	leader, term, ok := n.candidate.Confirmed(lodgeConfirmed)
 	if !ok || leader == n.settings.Node || r.Token > term || n.peers.Heard(leader, lodgeUnheard) {
 		return wire.Response{}, false
 	}
-	return wire.Response{Status: 200, Body: wire.Marshal(fleet.Answer{Token: term})}, true
+	return wire.Response{Status: 200, Body: wire.Marshal(n.lodger.Answer(r, term))}, true
 }
 
 func (n *Node) report(ctx context.Context, body []byte) wire.Response {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -115,6 +115,7 @@
 	Sick    bool
 	Drain   bool // to be returned once empty
 	Pushing bool
+	Via     string // node through which it is heard, if not directly
 	Failed  bool   // the cloud lists it as failed
 	Booting bool   // the cloud lists it as starting and it has not reported
 	Retire  string // why it is being returned, empty: it is not
@@ -364,7 +365,9 @@
 func (m *Machine) Kick() { m.urgent = true }
 
 // Urgent tells whether commands wait that should not wait for a report.
-func (m *Machine) Urgent() bool { return m.urgent && m.Known && !m.Pushing && !m.Gone }
+func (m *Machine) Urgent() bool {
+	return m.urgent && m.Known && !m.Pushing && !m.Gone && m.Via == ""
+}
 
 // SplitTask takes apart the protocol's name of a task.
 func SplitTask(name string) (id string, task int, ok bool) {
