--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -82,6 +82,7 @@
 	leaseAt time.Time // when the last answered report was sent
 	tasks   map[fleetKey]*task
 	more    chan struct{}
+	hung    bool
 }
 
 type fleetKey struct {
@@ -108,6 +109,19 @@
 	return w.up
 }
 
+// Hang stops or resumes the worker; its services stay where they are.
+func (w *Worker) Hang(hung bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hung = hung
+}
+
+func (w *Worker) hanging() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hung
+}
+
 // Token returns the highest token seen.
 func (w *Worker) Token() uint64 {
 	w.mu.Lock()
@@ -143,6 +157,10 @@
 	go w.cloud.net.Serve(w.ctx, w.Addr, w.handle)
 	node := 0
 	for w.ctx.Err() == nil {
+		if w.hanging() {
+			wait(w.ctx, 100*time.Millisecond)
+			continue
+		}
 		w.expire()
 		sent := time.Now()
 		status, body := w.report(w.cloud.nodes[node])
@@ -238,6 +256,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var c fleet.Commands
+	if w.hung {
+		return wire.Response{Status: drop}
+	}
 	if req.Path != "/commands" || wire.Unmarshal(req.Body, &c) != nil {
 		return wire.Response{Status: 400}
 	}
