--- a/internal/rental/offered.go
+++ b/internal/rental/offered.go
@@ -12,12 +12,24 @@
 	sum    float64
 	start  time.Time
 	last   time.Time
+	came   time.Time // the last arrival
+	gap    float64   // smoothed seconds between arrivals
 }
 
+// longSilence is how many usual gaps without an arrival are taken for chance.
+const longSilence = 3
+
 // Add counts work that arrives at now, in seconds of run time.
 func (o *Offered) Add(seconds float64, now time.Time) {
 	o.decay(now)
 	o.sum += seconds
+	if d := now.Sub(o.came).Seconds(); !o.came.IsZero() && d > 0 {
+		if o.gap == 0 {
+			o.gap = d
+		}
+		o.gap += (d - o.gap) / 8
+	}
+	o.came = now
 }
 
 // Rate returns the estimate.
@@ -29,7 +41,13 @@
 	tau := o.Memory.Seconds()
 	// What the estimate has not yet lived to see is not taken for silence.
 	seen := 1 - math.Exp(-now.Sub(o.start).Seconds()/tau)
-	return o.sum / (tau * math.Max(seen, 0.6))
+	rate := o.sum / (tau * math.Max(seen, 0.6))
+	// A silence of several times the usual gap means that arrivals have ceased,
+	// long before the memory has faded.
+	if silence := now.Sub(o.came).Seconds(); o.gap > 0 && silence > longSilence*o.gap {
+		rate *= longSilence * o.gap / silence
+	}
+	return rate
 }
 
 func (o *Offered) decay(now time.Time) {
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -89,7 +89,11 @@
 	if got := o.Rate(now); math.Abs(got-20) > 0.5 {
 		t.Errorf("steady load %v, want 20", got)
 	}
-	if got := o.Rate(now.Add(100 * time.Second)); math.Abs(got-20/math.E) > 0.5 {
-		t.Errorf("after a silence as long as the memory %v", got)
+	if got := o.Rate(now.Add(2 * time.Second)); got < 19 {
+		t.Errorf("after a silence like others %v", got)
+	}
+	// Arrivals came each second, so a silence of 100 s is more than chance.
+	if got := o.Rate(now.Add(100 * time.Second)); got > 1 {
+		t.Errorf("long after the last arrival %v", got)
 	}
 }
