--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -616,7 +616,7 @@
 		jobs[i] = placement.Job{ID: i, Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Beyond: beyond[j], Need: st.need,
 			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
-			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Stays: s.Shape == job.Service, Warm: l.warm(j, warm)}
+			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Warm: l.warm(j, warm)}
 		j.Attempts(func(a *ledger.Attempt) {
 			if m := l.fleet.Machine(a.Machine); m != nil && m.Zone >= 0 {
 				jobs[i].InZone[m.Zone]++
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -262,16 +262,6 @@
 	return names, asks
 }
 
-// pinned tells whether a machine holds tasks that do not end by themselves.
-func pinned(m *fleet.Machine) bool {
-	for _, h := range m.Holds {
-		if h.Job.Spec.Shape == job.Service && !h.Stopping {
-			return true
-		}
-	}
-	return false
-}
-
 // nothingUnsettled tells whether all results on a machine are written.
 func (l *lead) nothingUnsettled(m *fleet.Machine) bool {
 	ok := true
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -8,14 +8,13 @@
 // Machine is a machine as placement sees it. Its position in the list is its
 // dense index.
 type Machine struct {
-	Open   bool // takes new tasks
-	Type   int
-	Zone   int
-	Spot   bool
-	Pinned bool // holds tasks that do not end by themselves
-	Free   Amounts
-	Load   float64 // the index
-	Tasks  []Task  // booked tasks, for preemption
+	Open  bool // takes new tasks
+	Type  int
+	Zone  int
+	Spot  bool
+	Free  Amounts
+	Load  float64 // the index
+	Tasks []Task  // booked tasks, for preemption
 }
 
 // Task is a booked task.
@@ -46,7 +45,6 @@
 	Tasks    int    // of the job in all
 	InZone   []int  // of its tasks not done or now on machines, by zone
 	Urgent   bool   // may preempt
-	Stays    bool   // its tasks do not end by themselves
 	Warm     []bool // machines that have its image, where that comes before the index; nil: nowhere
 }
 
@@ -149,7 +147,6 @@
 	if j.Warm != nil {
 		j.Warm[m] = true
 	}
-	p.machines[m].Pinned = p.machines[m].Pinned || j.Stays
 	p.out.Assign = append(p.out.Assign, Assignment{i, m})
 }
 
@@ -202,9 +199,6 @@
 		if j.Warm != nil && j.Warm[i] != j.Warm[best] {
 			return j.Warm[i]
 		}
-		if j.Stays && p.machines[i].Pinned != p.machines[best].Pinned {
-			return p.machines[i].Pinned
-		}
 		return p.machines[i].Load < p.machines[best].Load
 	}
 	for i := range p.machines {
