--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -31,7 +31,7 @@
 		Silent:      10 * time.Second,
 		Abandon:     20 * time.Second,
 		IdleReturn:  10 * time.Second,
-		Reserve:     0.0,
+		Reserve:     0.15,
 	}
 }
 
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -563,7 +563,7 @@
 	foreign := false
 	m.Foreign(func(string) { foreign = true })
 	v.Load = l.index[m].Value()
-	v.Open = m.Known && !foreign && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
+	v.Open = m.Known && !foreign && !m.Sick && !m.Drain && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
 		now.Sub(m.Heard) < l.n.operator.Silent
 	return v
 }
