--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"sort"
 	"strconv"
 	"sync"
@@ -53,6 +54,7 @@
 	starved   map[*ledger.Job]int
 	blocked   map[pool]time.Time
 	offered   rental.Offered
+	learned   rental.Learned
 	lastArray *jobState
 	rentSeq   int
 	relays    map[string]*relayed // by node
@@ -276,7 +278,7 @@
 	}
 	l.jobs[j] = st
 	if s.Shape == job.Array && !j.Cancelled {
-		l.offered.Add(float64(s.Tasks)*s.ExpectS, time.Now())
+		l.offered.Add(float64(s.Tasks)*l.expect(j), time.Now())
 		l.lastArray = st
 	}
 }
@@ -475,6 +477,11 @@
 	return j == nil || j.Durable(n)
 }
 
+// expect returns about how many seconds a task of a job runs.
+func (l *lead) expect(j *ledger.Job) float64 {
+	return math.Max(1, j.Spec.ExpectS*l.learned.Factor(j.Spec.Class))
+}
+
 // Failures in a row after which a machine is taken for faulty, and machines on
 // which a job fails before it is taken for faulty itself.
 const (
@@ -492,6 +499,9 @@
 	}
 	switch o.Cause {
 	case fleet.CauseDone:
+		if !o.Hold.Running.IsZero() {
+			l.learned.Add(a.Job.Spec.Class, a.Job.Spec.ExpectS, now.Sub(o.Hold.Running).Seconds())
+		}
 		m.Errors = 0
 		st.backoff = 0
 	case fleet.CauseError:
@@ -563,7 +573,7 @@
 	foreign := false
 	m.Foreign(func(string) { foreign = true })
 	v.Load = l.index[m].Value()
-	v.Open = m.Known && !foreign && !m.Sick && !m.Drain && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
+	v.Open = m.Known && !foreign && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
 		now.Sub(m.Heard) < l.n.operator.Silent
 	return v
 }
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -349,7 +349,7 @@
 			return
 		}
 		live += j.LiveTasks()
-		run := math.Max(j.Spec.ExpectS, 1) + l.fetchSeconds(j)
+		run := l.expect(j) + l.fetchSeconds(j)
 		works = append(works, rental.Work{Due: l.dueIn(j, now).Seconds(), Run: run,
 			Seconds: run * (float64(j.WaitingTasks()) + float64(j.LiveTasks())/2)})
 	})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -113,7 +113,6 @@
 	Holds   map[key]*Hold
 	Errors  int // failed attempts in a row
 	Sick    bool
-	Drain   bool // to be returned once empty
 	Pushing bool
 	Via     string // node through which it is heard, if not directly
 	Failed  bool   // the cloud lists it as failed
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -97,3 +97,20 @@
 		t.Errorf("long after the last arrival %v", got)
 	}
 }
+
+func TestLearned(t *testing.T) {
+	var l Learned
+	if l.Factor("class") != 1 {
+		t.Error("corrected before anything is known")
+	}
+	l.Add("class", 10, 20)
+	if f := l.Factor("class"); f < 1 || f > 1.1 {
+		t.Errorf("one task changes the factor to %v", f)
+	}
+	for range 500 {
+		l.Add("class", 10, 20)
+	}
+	if f := l.Factor("class"); math.Abs(f-2) > 0.01 || l.Factor("other") != 1 {
+		t.Errorf("factor %v, want 2", f)
+	}
+}
