Tell faulty machines from faulty jobs by what else fails and succeeds

Now machines are blamed by jobs, a job avoids machines on which it failed, and backs off when it fails anywhere. Guarded by TestMistakenJob and TestSickMachine.

--- a/cmd/tulipshelf/main.go
+++ b/cmd/tulipshelf/main.go
@@ -17,6 +17,9 @@
 	"tulipshelf/internal/controller"
 )
 
+// version of the program.
+const version = "0.1.0"
+
 // Exit statuses.
 const (
 	exitFailed = 1
@@ -26,6 +29,13 @@
 // usageError marks what the caller has to put right.
 type usageError struct{ error }
 
+func noArgs(cmd *cobra.Command, args []string) error {
+	if err := cobra.NoArgs(cmd, args); err != nil {
+		return usageError{err}
+	}
+	return nil
+}
+
 func main() {
 	err := command().Execute()
 	if err == nil {
@@ -46,7 +56,7 @@
 		Use:           "tulipshelf --config FILE",
 		Short:         "Controller of the tulipshelf cluster scheduler",
 		Long:          "Runs one controller with the platform's settings (JSON) and, optionally,\nthe operators' own settings (S-expressions). LOG_LEVEL is error, info or debug.",
-		Args:          cobra.NoArgs,
+		Args:          noArgs,
 		SilenceErrors: true,
 		SilenceUsage:  true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -66,18 +76,14 @@
 	root.AddCommand(&cobra.Command{
 		Use:   "version",
 		Short: "Print the version",
-		Args:  cobra.NoArgs,
+		Args:  noArgs,
 		Run: func(cmd *cobra.Command, _ []string) {
-			v := "(devel)"
-			if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-				v = info.Main.Version
-			}
-			fmt.Fprintln(cmd.OutOrStdout(), "tulipshelf", v)
+			fmt.Fprintln(cmd.OutOrStdout(), "tulipshelf", version)
 		},
 	}, &cobra.Command{
 		Use:   "check-config",
 		Short: "Check the settings and the operator file, and name every fault",
-		Args:  cobra.NoArgs,
+		Args:  noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if _, _, err := read(settingsPath, operatorPath); err != nil {
 				return err
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -442,3 +442,56 @@
 		c.net.Cut(nil)
 	})
 }
+
+// A job that fails everywhere is not held against the machines.
+func TestMistakenJob(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		bad := submission("wk-000001", job.Array, 6, 5)
+		bad["lane"] = standin.Mistaken
+		c.submit(0, bad)
+		c.submit(0, submission("wk-000002", job.Array, 6, 5))
+		c.until("the good job is done", time.Minute, c.done("wk-000002"))
+		time.Sleep(15 * time.Second)
+		if got := c.cloud.Returned(); len(got) != 0 {
+			t.Errorf("returned for the job's mistake: %v", got)
+		}
+		tries := 0
+		for task, n := range c.referee.Starts {
+			if strings.HasPrefix(task, "wk-000001/") {
+				tries += n
+			}
+		}
+		if tries > 60 {
+			t.Errorf("a job that fails everywhere was started %d times", tries)
+		}
+	})
+}
+
+// A machine on which jobs fail that do well elsewhere is returned.
+func TestSickMachine(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.submit(0, submission("wk-000001", job.Service, 6, 0))
+		c.until("service runs", time.Minute, func() bool { return c.referee.On() == 6 })
+		w := c.cloud.Machines()[0]
+		for _, other := range c.cloud.Machines() {
+			if other.Tasks() < w.Tasks() {
+				w = other
+			}
+		}
+		w.Sicken()
+		for i := range 4 {
+			c.submit(0, submission(fmt.Sprintf("wk-00001%d", i), job.Array, 4, 5))
+		}
+		c.until("sick machine returned", 30*time.Second, func() bool {
+			for _, name := range c.cloud.Returned() {
+				if name == w.Name {
+					return true
+				}
+			}
+			return false
+		})
+		c.until("service whole", 30*time.Second, func() bool { return c.referee.On() >= 6 })
+	})
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -67,7 +67,8 @@
 	zone      int // -1: any
 	types     []bool
 	need      placement.Amounts
-	failedOn  map[string]struct{} // machines on which its tasks failed
+	failedOn  map[string]struct{} // machines on which its tasks failed lately
+	errors    int                 // failed attempts since the last that was done
 	notBefore time.Time
 	backoff   time.Duration
 }
@@ -482,11 +483,18 @@
 	return math.Max(1, j.Spec.ExpectS*l.learned.Factor(j.Spec.Class))
 }
 
-// Failures in a row after which a machine is taken for faulty, and machines on
-// which a job fails before it is taken for faulty itself.
+// A machine is taken for faulty once tasks of so many jobs have failed on it with
+// none done in between, or so many tasks of a job that does well elsewhere.
 const (
-	sickErrors  = 3
-	badMachines = 3
+	sickJobs   = 2
+	sickErrors = 2
+)
+
+// A job whose tasks have failed so often with none done in between waits longer
+// with each failure: it was probably submitted with a mistake.
+const (
+	jobErrors  = 4
+	maxBackoff = time.Minute
 )
 
 func (l *lead) outcome(m *fleet.Machine, o fleet.Outcome, now time.Time) {
@@ -503,18 +511,21 @@
 			l.learned.Add(a.Job.Spec.Class, a.Job.Spec.ExpectS, now.Sub(o.Hold.Running).Seconds())
 		}
 		m.Errors = 0
-		st.backoff = 0
+		clear(m.Blamed)
+		st.errors, st.backoff = 0, 0
 	case fleet.CauseError:
 		st.failedOn[m.Name] = struct{}{}
-		if len(st.failedOn) >= badMachines {
-			// The job fails everywhere: it waits longer each time and no machine
-			// is blamed for it.
-			st.backoff = min(max(2*st.backoff, 2*time.Second), time.Minute)
+		if st.errors++; st.errors >= jobErrors {
+			st.backoff = min(max(2*st.backoff, 2*time.Second), maxBackoff)
 			st.notBefore = now.Add(st.backoff)
+			clear(st.failedOn) // it may try anywhere again
+			l.fleet.Each(func(m *fleet.Machine) { delete(m.Blamed, a.Job.Spec.ID) })
 			return
 		}
 		m.Errors++
-		if m.Errors >= sickErrors && !m.Sick {
+		m.Blamed[a.Job.Spec.ID] = struct{}{}
+		well := a.Job.DoneTasks() > 0
+		if (len(m.Blamed) >= sickJobs || well && m.Errors >= sickErrors) && !m.Sick {
 			m.Sick = true
 			slog.Info("machine quarantined", "machine", m.Name, "errors", m.Errors)
 		}
@@ -626,7 +637,7 @@
 		jobs[i] = placement.Job{ID: i, Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Beyond: beyond[j], Need: st.need,
 			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
-			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Warm: l.warm(j, warm)}
+			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Warm: l.warm(j, warm), Avoid: l.avoid(st)}
 		j.Attempts(func(a *ledger.Attempt) {
 			if m := l.fleet.Machine(a.Machine); m != nil && m.Zone >= 0 {
 				jobs[i].InZone[m.Zone]++
@@ -684,6 +695,20 @@
 	return out
 }
 
+// avoid returns the machines on which a job has failed lately.
+func (l *lead) avoid(st *jobState) []bool {
+	if len(st.failedOn) == 0 {
+		return nil
+	}
+	out := make([]bool, l.fleet.Size())
+	for name := range st.failedOn {
+		if m := l.fleet.Machine(name); m != nil {
+			out[m.Index] = true
+		}
+	}
+	return out
+}
+
 // warm returns the machines that have a job's image, if a fetch of it takes
 // longer than the index remembers. Jobs with the same image share the list, so
 // that one pass sends them to the same machines.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -111,7 +111,8 @@
 	Recall  time.Time // when the cloud takes it away; zero: no notice
 	Seen    map[key]Seen
 	Holds   map[key]*Hold
-	Errors  int // failed attempts in a row
+	Errors  int                 // failed attempts since the last that was done
+	Blamed  map[string]struct{} // jobs whose tasks failed since then
 	Sick    bool
 	Pushing bool
 	Via     string // node through which it is heard, if not directly
@@ -175,7 +176,7 @@
 		i++
 	}
 	m := &Machine{Index: i, Name: name, Created: now, IdleSince: now,
-		Seen: map[key]Seen{}, Holds: map[key]*Hold{}}
+		Seen: map[key]Seen{}, Holds: map[key]*Hold{}, Blamed: map[string]struct{}{}}
 	f.byName[name] = m
 	if i == len(f.all) {
 		f.all = append(f.all, m)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -45,6 +45,7 @@
 	Tasks    int    // of the job in all
 	InZone   []int  // of its tasks not done or now on machines, by zone
 	Urgent   bool   // may preempt
+	Avoid    []bool // machines on which it has failed; nil: none
 	Warm     []bool // machines that have its image, where that comes before the index; nil: nowhere
 }
 
@@ -203,7 +204,7 @@
 	}
 	for i := range p.machines {
 		m := &p.machines[i]
-		if !m.Open || !before(i) {
+		if !m.Open || j.avoids(i) || !before(i) {
 			continue
 		}
 		if !m.Free.Fits(j.Need) || !j.Allows(m) || (only >= 0 && m.Zone != only) {
@@ -214,6 +215,8 @@
 	return best
 }
 
+func (j *Job) avoids(machine int) bool { return j.Avoid != nil && j.Avoid[machine] }
+
 // Allows tells whether a task of j may start on m, given j's other tasks.
 func (j *Job) Allows(m *Machine) bool {
 	if m.Type < 0 || m.Zone < 0 || m.Zone >= len(j.InZone) {
@@ -242,7 +245,7 @@
 		best, bestStops, bestCost := -1, []int(nil), 0.0
 		for k := range p.machines {
 			m := &p.machines[k]
-			if !m.Open || !j.Allows(m) {
+			if !m.Open || j.avoids(k) || !j.Allows(m) {
 				continue
 			}
 			stops, cost, ok := m.victims(j, p.now)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -12,6 +12,9 @@
 	"tulipshelf/internal/wire"
 )
 
+// Mistaken is the class of jobs that fail on every machine.
+const Mistaken = "mistaken"
+
 // Referee watches the rules and keeps the jobs' descriptions for the workers.
 type Referee struct {
 	mu     sync.Mutex
@@ -83,6 +86,7 @@
 	tasks   map[fleetKey]*task
 	more    chan struct{}
 	hung    bool
+	sick    bool
 }
 
 type fleetKey struct {
@@ -116,6 +120,26 @@
 	w.hung = hung
 }
 
+// Sicken makes every task that starts on the worker fail.
+func (w *Worker) Sicken() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sick = true
+}
+
+// Tasks returns how many tasks are on the worker.
+func (w *Worker) Tasks() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, t := range w.tasks {
+		if t.status != fleet.Exited {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *Worker) hanging() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -306,6 +330,11 @@
 	if !known {
 		return &task{status: fleet.Exited, cause: fleet.CauseNoJob}
 	}
+	if w.sick || s.Class == Mistaken {
+		w.cloud.referee.end(k.task, w.Name, false)
+		w.changed()
+		return &task{status: fleet.Exited, cause: fleet.CauseError}
+	}
 	run := time.Duration(s.ExpectS * float64(time.Second))
 	if s.Shape == job.Service {
 		run = 1000 * time.Hour
