--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -29,7 +29,7 @@
 		Gather:      10 * time.Second,
 		LeaderLease: 2500 * time.Millisecond,
 		Silent:      10 * time.Second,
-		Abandon:     20 * time.Second,
+		Abandon:     14 * time.Second,
 		IdleReturn:  10 * time.Second,
 		Reserve:     0.15,
 	}
