--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -30,7 +30,7 @@
 		LeaderLease: 2500 * time.Millisecond,
 		Silent:      10 * time.Second,
 		Abandon:     14 * time.Second,
-		IdleReturn:  25 * time.Second,
+		IdleReturn:  10 * time.Second,
 		Reserve:     0.15,
 	}
 }
