--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -111,7 +111,7 @@
 	for i, j := range waiting {
 		st := l.jobs[j]
 		s := j.Spec
-		jobs[i] = placement.Job{Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Beyond: beyond[j], Need: st.need,
+		jobs[i] = placement.Job{Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
 			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
 			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Warm: l.warm(j, warm), Avoid: l.avoid(st)}
@@ -147,6 +147,16 @@
 	}
 }
 
+// ratio returns the inverse of an array's response ratio: its work left over the
+// time that its user has waited, one task's run included.
+func (l *lead) ratio(j *ledger.Job, now time.Time) float64 {
+	if j.Spec.Shape != job.Array {
+		return 0
+	}
+	run := l.expect(j)
+	return float64(j.WaitingTasks()) * run / (run + max(0, now.Sub(j.At).Seconds()))
+}
+
 // beyond tells which jobs do not fit into their team's guarantee together with
 // the team's earlier unfinished jobs.
 func (l *lead) beyond() map[*ledger.Job]bool {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -31,7 +31,8 @@
 	Team     int
 	Priority int
 	Arrival  uint64
-	Beyond   bool // its team has more unfinished work than it is guaranteed
+	Ratio    float64 // work left over time waited; the less, the sooner
+	Beyond   bool    // its team has more unfinished work than it is guaranteed
 	Need     Amounts
 	Waiting  int
 	Types    []bool // allowed by dense type; nil: any
@@ -112,6 +113,13 @@
 		if a.Beyond != b.Beyond {
 			return b.Beyond
 		}
+		// Exception to the design (arrival): among arrays, the highest response ratio
+		// first, that is the least work left for the time waited. By arrival one large
+		// array makes all behind it late (rough of kapana-orders); by work alone a
+		// large one might never have its turn.
+		if a.Ratio != b.Ratio {
+			return a.Ratio < b.Ratio
+		}
 		return a.Arrival < b.Arrival
 	})
 	for _, i := range order {
