Let services at their team's limit preempt the team's own arrays

Excluded: room and images; they were placed the moment a task of the team ended. In the same pass nobody gets any of what is about to stop, of the limit or of the machine (two traces).

--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -56,7 +56,7 @@
 	for i, h := range m.Sorted() {
 		v.Free = v.Free.Add(l.jobs[h.Job].need, -1)
 		v.Tasks = append(v.Tasks, placement.Task{ID: i, Need: l.jobs[h.Job].need,
-			Priority: h.Job.Spec.Rank(), Since: h.Since, Stopping: h.Stopping})
+			Priority: h.Job.Spec.Rank(), Team: l.jobs[h.Job].team, Since: h.Since, Stopping: h.Stopping})
 	}
 	foreign := false
 	m.Foreign(func(string) { foreign = true })
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -22,6 +22,7 @@
 	ID       int // the caller's
 	Need     Amounts
 	Priority int
+	Team     int
 	Since    time.Time
 	Stopping bool
 }
@@ -53,12 +54,26 @@
 	CPUsMax, GPUsMax float64
 	CPUsUsed         float64
 	GPUsUsed         float64
+	stopped          Amounts // of its tasks that stop for others, and still count
 }
 
 func (t *Team) room(n Amounts) bool {
 	return t.CPUsUsed+n[CPU] <= t.CPUsMax+eps && t.GPUsUsed+n[GPU] <= t.GPUsMax+eps
 }
 
+// over returns by how much the team would be over its limit with n more, once
+// those that stop have stopped.
+func (t *Team) over(n Amounts) Amounts {
+	var out Amounts
+	if d := t.CPUsUsed - t.stopped[CPU] + n[CPU] - t.CPUsMax; d > eps {
+		out[CPU] = d
+	}
+	if d := t.GPUsUsed - t.stopped[GPU] + n[GPU] - t.GPUsMax; d > eps {
+		out[GPU] = d
+	}
+	return out
+}
+
 func (t *Team) use(n Amounts, k float64) {
 	t.CPUsUsed += k * n[CPU]
 	t.GPUsUsed += k * n[GPU]
@@ -130,6 +145,9 @@
 		}
 		for n := 0; n < j.Waiting; n++ {
 			if !p.teams[j.Team].room(j.Need) {
+				if j.Urgent {
+					p.preempt(i, j, j.Waiting-n)
+				}
 				break
 			}
 			m := p.best(j, -1)
@@ -244,16 +262,19 @@
 }
 
 // preempt makes room for up to n tasks of j, each by stopping tasks of lower
-// priority on the one machine where that loses the least run time.
+// priority on the one machine where that loses the least run time. Where the
+// team is at its limit the tasks stopped are its own.
 func (p *planner) preempt(i int, j *Job, n int) {
-	for ; n > 0 && p.teams[j.Team].room(j.Need); n-- {
+	team := &p.teams[j.Team]
+	for ; n > 0; n-- {
+		over := team.over(j.Need)
 		best, bestStops, bestCost := -1, []int(nil), 0.0
 		for k := range p.machines {
 			m := &p.machines[k]
 			if !m.Open || j.avoids(k) || !j.Allows(m) {
 				continue
 			}
-			stops, cost, ok := m.victims(j, p.now)
+			stops, cost, ok := m.victims(j, over, p.now)
 			if ok && (best < 0 || cost < bestCost) {
 				best, bestStops, bestCost = k, stops, cost
 			}
@@ -262,29 +283,36 @@
 			return
 		}
 		m := &p.machines[best]
+		var freed Amounts
 		for _, v := range bestStops {
 			t := &m.Tasks[v]
 			if !t.Stopping {
 				t.Stopping = true
 				p.out.Stops = append(p.out.Stops, Stop{best, t.ID, i})
 			}
-			// The room is promised to j, so the task no longer counts here.
-			m.Free = m.Free.Add(t.Need, 1)
-			t.Need = Amounts{}
+			freed = freed.Add(t.Need, 1)
+			p.teams[t.Team].stopped = p.teams[t.Team].stopped.Add(t.Need, 1)
+			t.Need = Amounts{} // promised to j
+		}
+		// What stops is still there and counts until it is gone: nobody gets any of
+		// it in this pass, not even what is more than j needs.
+		for r := range m.Free {
+			m.Free[r] = min(m.Free[r], m.Free[r]+freed[r]-j.Need[r])
 		}
-		m.Free = m.Free.Add(j.Need, -1)
-		p.teams[j.Team].use(j.Need, 1)
+		team.use(j.Need, 1)
 		j.InZone[m.Zone]++
 	}
 }
 
 // victims picks tasks of lower priority than j, those already stopping and the
-// youngest first, until j's task fits. The cost is the run time lost.
-func (m *Machine) victims(j *Job, now time.Time) (stops []int, cost float64, ok bool) {
+// youngest first, until j's task fits and its team is over its limit no more.
+// The cost is the run time lost.
+func (m *Machine) victims(j *Job, over Amounts, now time.Time) (stops []int, cost float64, ok bool) {
 	free := m.Free
+	limited := over != (Amounts{})
 	order := make([]int, 0, len(m.Tasks))
 	for i, t := range m.Tasks {
-		if t.Priority < j.Priority && t.Need != (Amounts{}) {
+		if t.Priority < j.Priority && t.Team >= 0 && t.Need != (Amounts{}) && (!limited || t.Team == j.Team) {
 			order = append(order, i)
 		}
 	}
@@ -301,16 +329,19 @@
 		}
 		return a.ID < b.ID
 	})
+	enough := func() bool { return free.Fits(j.Need) && (Amounts{}).Fits(over) }
 	for _, i := range order {
-		if free.Fits(j.Need) {
+		if enough() {
 			break
 		}
 		t := &m.Tasks[i]
 		free = free.Add(t.Need, 1)
+		over = over.Add(t.Need, -1)
+		over[Memory] = 0 // not limited
 		stops = append(stops, i)
 		if !t.Stopping {
 			cost += now.Sub(t.Since).Seconds()
 		}
 	}
-	return stops, cost, free.Fits(j.Need)
+	return stops, cost, enough()
 }
