--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -364,7 +364,7 @@
 	slots := live + int(math.Max(0, free-taken)+1e-6) // tasks of one CPU: about what it takes
 	need, usual := rental.Slots(works, slots, boot), l.offered.Rate(now)
 	slog.Debug("arrays sized", "need", need, "usual", usual, "live", live, "slots", slots, "taken", taken)
-	return max(need, int(usual*0.85+0.5)) - live
+	return max(need, int(usual+0.5)) - live
 }
 
 // fetchSeconds is about how long a machine takes to fetch a job's image.
