--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -276,7 +276,7 @@
 	}
 	l.jobs[j] = st
 	if s.Shape == job.Array && !j.Cancelled {
-		l.offered.Add(float64(s.Tasks)*(l.expect(j)+l.fetchSeconds(j)), time.Now())
+		l.offered.Add(float64(s.Tasks)*l.expect(j), time.Now())
 		l.lastArray = st
 	}
 }
