Start and go on while the cloud does not serve

Cause: read in the code while looking for what is on no list: a node that started in an outage of the cloud knew no machine types and took no submission, failed requests were tried each half second and logged each time, and a catalog with other types than at the election would have shifted the dense indices. The types are kept in the state service, tries back off, and prices alone are taken over. Guarded by TestCloudOutage.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -493,3 +493,27 @@
 		c.until("service whole", 30*time.Second, func() bool { return c.referee.On() >= 6 })
 	})
 }
+
+// While the cloud does not serve, nodes that start take submissions with the
+// machine types that were kept, and what runs goes on.
+func TestCloudOutage(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.submit(0, submission("wk-000001", job.Service, 2, 0))
+		c.until("service runs", time.Minute, func() bool { return c.referee.On() == 2 })
+		time.Sleep(time.Minute) // the leader reads the catalog once a minute
+		c.cloud.Down(true)
+		for i := range 3 {
+			c.kill(i)
+			c.start(i)
+		}
+		c.until("a submission is taken", 15*time.Second, func() bool {
+			return c.submit(0, submission("wk-000002", job.Array, 2, 5)) == 201
+		})
+		c.until("array done on the machines there are", time.Minute, c.done("wk-000002"))
+		c.cloud.Down(false)
+		if n := c.referee.Starts["wk-000001/0"]; n != 1 {
+			t.Errorf("replica started %d times", n)
+		}
+	})
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -187,7 +188,7 @@
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
-	l.types = *l.n.types.Load()
+	l.types = slices.Clone(*l.n.types.Load())
 	for i, t := range l.types {
 		l.typeIndex[t.Name] = i
 		for _, z := range t.Zones {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -3,6 +3,7 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -160,25 +161,56 @@
 	}
 }
 
+// catalogKey holds the machine types as last read, so that a node that starts
+// while the cloud does not serve can still take submissions.
+const catalogKey = "catalog"
+
+type catalogValue struct {
+	Types []cloud.Type `cbor:"types"`
+}
+
 // keepCatalog reads the machine types until they are known, and then now and
 // again for the prices.
 func (n *Node) keepCatalog(ctx context.Context) {
-	for {
+	var kept []byte
+	for ctx.Err() == nil {
 		wait := time.Second
 		types, err := n.cloud.Catalog(ctx)
 		switch {
 		case err != nil:
 			slog.Debug("catalog not read", "err", err)
+			if n.types.Load() == nil {
+				n.recallCatalog(ctx)
+			}
 		case len(types) > 0:
 			n.types.Store(&types)
 			wait = time.Minute
+			value := wire.Marshal(catalogValue{types})
+			if n.lead.Load() == nil || bytes.Equal(value, kept) || len(value) > n.settings.State.ValueBytes {
+				break
+			}
+			_, err := n.store.Txn(ctx, nil, []statestore.Op{{Put: catalogKey, Value: value}}, statestore.Rest)
+			if err == nil {
+				kept = value
+			}
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-		}
+		sleep(ctx, wait)
+	}
+}
+
+// recallCatalog takes the machine types that a leader has kept.
+func (n *Node) recallCatalog(ctx context.Context) {
+	it, err := n.store.Get(ctx, catalogKey, statestore.Rest)
+	if err != nil {
+		return
+	}
+	var v catalogValue
+	if err := wire.Unmarshal(it.Value, &v); err != nil || len(v.Types) == 0 {
+		slog.Error("kept catalog unreadable", "err", err)
+		return
 	}
+	slog.Info("catalog taken from the state service", "types", len(v.Types))
+	n.types.Store(&v.Types)
 }
 
 func (n *Node) reign(ctx context.Context, r *leadership.Reign) {
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"sort"
 	"strconv"
 	"time"
@@ -64,6 +65,8 @@
 			why = "silent"
 		case !m.Recall.IsZero() && now.After(m.Recall) && quiet(m) >= op.Silent:
 			why = "taken back"
+		case m.Known && len(m.Holds) == 0 && (m.Type < 0 || m.Zone < 0):
+			why = "of no known type or zone"
 		case l.overdueCancel(m, now):
 			why = "holds a cancelled task that cannot be stopped"
 		}
@@ -99,14 +102,21 @@
 
 // rent is the goroutine that talks to the cloud.
 func (l *lead) rent(ctx context.Context) {
+	const (
+		decideEvery = 500 * time.Millisecond
+		maxPause    = 5 * time.Second
+	)
 	var listed time.Time
 	var pending []cloud.Rental // asked for and not answered for certain
+	pause := decideEvery       // grows while the cloud does not serve
 	for ctx.Err() == nil {
+		failed := false
 		if time.Since(listed) >= max(2*time.Second, l.n.settings.Cloud.ListLag/2) {
 			asked := time.Now()
 			list, err := l.n.cloud.List(ctx)
 			if err != nil {
 				slog.Debug("machines not listed", "err", err)
+				failed = true
 			} else {
 				l.post(func() { l.onList(list, asked) })
 			}
@@ -117,7 +127,8 @@
 		if l.call(ctx, func() { names, asks = l.decide(time.Now()) }) {
 			if len(names) > 0 {
 				if err := l.n.cloud.Return(ctx, names); err != nil {
-					slog.Info("machines not returned", "err", err)
+					slog.Debug("machines not returned", "machines", names, "err", err)
+					failed = true
 				} else {
 					l.post(func() { l.returned(names) })
 				}
@@ -128,14 +139,24 @@
 		for _, r := range pending {
 			got, err := l.n.cloud.Rent(ctx, r)
 			if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
-				slog.Info("rental not answered", "request", r.Name, "err", err)
+				slog.Debug("rental not answered", "request", r.Name, "err", err)
+				failed = true
 				again = append(again, r) // the same name, so that nothing is rented twice
 				continue
 			}
 			l.post(func() { l.rented(r, got) })
 		}
 		pending = again
-		sleep(ctx, 500*time.Millisecond)
+		switch {
+		case !failed:
+			pause = decideEvery
+		default:
+			if pause == decideEvery {
+				slog.Info("cloud does not serve", "pending", len(pending))
+			}
+			pause = min(2*pause, maxPause)
+		}
+		sleep(ctx, pause*3/4+rand.N(pause/2))
 	}
 }
 
@@ -209,7 +230,7 @@
 	if !l.loaded || !l.reign.Valid() || !l.ready(now) {
 		return nil, nil
 	}
-	l.types = *l.n.types.Load()
+	l.reprice(*l.n.types.Load())
 	var ms []*fleet.Machine
 	var machines []rental.Machine
 	l.fleet.Each(func(m *fleet.Machine) {
@@ -263,6 +284,16 @@
 	return names, asks
 }
 
+// reprice takes current prices. Types that are new to this leader wait for the
+// next: jobs and machines hold dense indices of those it began with.
+func (l *lead) reprice(types []cloud.Type) {
+	for _, t := range types {
+		if i, ok := l.typeIndex[t.Name]; ok {
+			l.types[i].Hourly, l.types[i].SpotPrice = t.Hourly, t.SpotPrice
+		}
+	}
+}
+
 // nothingUnsettled tells whether all results on a machine are written.
 func (l *lead) nothingUnsettled(m *fleet.Machine) bool {
 	ok := true
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -27,6 +27,7 @@
 	machines map[string]*Worker
 	next     int
 	returned []string
+	down     bool
 }
 
 // NewCloud returns a cloud with one machine type in the given zones.
@@ -54,11 +55,21 @@
 	return append([]string(nil), c.returned...)
 }
 
+// Down starts or ends an outage.
+func (c *Cloud) Down(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+}
+
 // Handle answers one request.
 func (c *Cloud) Handle(_ context.Context, req *wire.Request) wire.Response {
 	time.Sleep(100 * time.Millisecond)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.down {
+		return wire.Response{Status: 503, Body: wire.Marshal(map[string]string{"error": "trouble"})}
+	}
 	switch {
 	case req.Path == "/catalog":
 		return ok(map[string]any{"builds": []cloud.Type{c.Type}})
