--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -131,8 +131,14 @@
 	return out, evio.None
 }
 
-// send hands an answer to the loop.
+// send hands an answer to the loop. A connection that is gone is not woken: when
+// the loop itself has ended, its wake descriptor may be another's by now.
 func (l *link) send(out []byte, end bool) {
+	select {
+	case <-l.gone:
+		return
+	default:
+	}
 	l.mu.Lock()
 	l.out = append(l.out, out...)
 	l.close = l.close || end
--- a/internal/wire/server_test.go
+++ b/internal/wire/server_test.go
@@ -19,6 +19,7 @@
 	link   *link
 	out    strings.Builder
 	closed bool
+	woken  int
 }
 
 func (c *loopConn) Context() any         { return c.link }
@@ -26,7 +27,12 @@
 func (c *loopConn) AddrIndex() int       { return 0 }
 func (c *loopConn) LocalAddr() net.Addr  { return nil }
 func (c *loopConn) RemoteAddr() net.Addr { return nil }
-func (c *loopConn) Wake()                { c.data("") }
+func (c *loopConn) Wake() {
+	c.mu.Lock()
+	c.woken++
+	c.mu.Unlock()
+	c.data("")
+}
 
 func (c *loopConn) data(in string) {
 	out, action := c.link.exchange([]byte(in))
@@ -49,8 +55,11 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &Server{IdleTimeout: time.Minute, ReadTimeout: 10 * time.Second, Handler: func(ctx context.Context, r *Request) Response {
-			if r.Path == "/busy" {
+			switch r.Path {
+			case "/busy":
 				<-ctx.Done()
+			case "/slow":
+				time.Sleep(time.Second)
 			}
 			return Response{Status: 200, Body: []byte(r.Path + string(r.Body))}
 		}}
@@ -126,3 +135,17 @@
 		}
 	})
 }
+
+// A handler that ends after its connection does not touch the loop any more.
+func TestConnectionGoneIsNotWoken(t *testing.T) {
+	converse(t, func(c *loopConn) {
+		c.data("GET /slow HTTP/1.1\r\n\r\n")
+		synctest.Wait()
+		close(c.link.gone)
+		time.Sleep(2 * time.Second)
+		if c.mu.Lock(); c.woken != 0 {
+			t.Errorf("woken %d times", c.woken)
+		}
+		c.mu.Unlock()
+	})
+}
