--- a/internal/rental/slots.go
+++ b/internal/rental/slots.go
@@ -13,10 +13,6 @@
 	Seconds float64
 }
 
-// margin covers the unevenness of tasks: the last ones of an array rarely end
-// together.
-const margin = 1.15
-
 // Slots returns how many tasks of the works should run at once, given how many
 // can on the machines there are. It takes the works in order of their due time
 // and compares what is to be done by each with what can be done by then. New
@@ -27,7 +23,7 @@
 	sort.Slice(works, func(i, j int) bool { return works[i].Due < works[j].Due })
 	need, total := 0.0, 0.0
 	for _, w := range works {
-		total += w.Seconds * margin
+		total += w.Seconds
 		due := math.Max(w.Due, w.Run)
 		need = math.Max(need, math.Min(total/due, float64(have)))
 		if short := total - float64(have)*due; short <= 0 {
