--- a/internal/rental/slots.go
+++ b/internal/rental/slots.go
@@ -31,7 +31,7 @@
 		}
 		help := due - boot
 		if help < w.Run {
-			continue
+			help = 1.5 * w.Run
 		}
 		if short := total - float64(have)*(boot+help); short > 0 {
 			need = math.Max(need, float64(have)+short/help)
