Drain machines that the cloud takes back

Cause: read against the protocol: services stayed on a machine with a notice until it was gone and found silent, and tasks that can save were not told to. Guarded by TestNoticeDrains.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -517,3 +517,30 @@
 		}
 	})
 }
+
+// A machine with a notice is drained: services move at once, tasks that save
+// progress are told to before it goes, the others run on.
+func TestNoticeDrains(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		saving := submission("wk-000002", job.Array, 1, 300)
+		saving["stash_every_s"], saving["stash_s"] = 10.0, 2.0
+		c.submit(0, submission("wk-000001", job.Service, 1, 0))
+		c.submit(0, saving)
+		c.submit(0, submission("wk-000003", job.Array, 1, 40))
+		c.until("all run", time.Minute, func() bool { return c.referee.On() == 3 })
+		begin := time.Now()
+		for _, w := range c.cloud.Machines() {
+			w.Notice(30 * time.Second)
+		}
+		c.until("service moved", 25*time.Second, func() bool { return c.referee.Starts["wk-000001/0"] == 2 })
+		if c.referee.Starts["wk-000002/0"] != 1 || time.Since(begin) > 20*time.Second {
+			t.Errorf("task that saves was moved %v after the notice", time.Since(begin))
+		}
+		c.until("task that saves moved", 40*time.Second, func() bool { return c.referee.Starts["wk-000002/0"] == 2 })
+		c.until("other task done where it was", time.Minute, func() bool { return c.referee.Done["wk-000003/0"] })
+		if n := c.referee.Starts["wk-000003/0"]; n != 1 {
+			t.Errorf("task that cannot save was started %d times", n)
+		}
+	})
+}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -31,6 +31,7 @@
 		if len(m.Holds) > 0 {
 			m.IdleSince = now
 		}
+		drain(m, now)
 	})
 	l.book.Jobs(func(j *ledger.Job) {
 		if j.Cancelled {
@@ -40,6 +41,29 @@
 	l.retire(now)
 }
 
+// saveLeeway is how long before a notice runs out tasks are told to save, beside
+// the time that they need for it: the command has to reach them.
+const saveLeeway = 8 * time.Second
+
+// drain empties a machine that the cloud takes back. Services stop at once, since
+// they cannot start elsewhere before they are gone here; tasks that can save their
+// progress go on for as long as they can; the others may yet be done in time.
+func drain(m *fleet.Machine, now time.Time) {
+	if m.Recall.IsZero() {
+		return
+	}
+	for _, h := range m.Sorted() {
+		s := h.Job.Spec
+		save := time.Duration(s.SaveS * float64(time.Second))
+		switch {
+		case s.Shape == job.Service:
+			m.Stop(h, s.SaveS)
+		case s.CheckpointS > 0 && m.Recall.Sub(now) < save+saveLeeway:
+			m.Stop(h, s.SaveS)
+		}
+	}
+}
+
 // capacity returns what a machine of a type holds.
 func (l *lead) capacity(typ int) placement.Amounts {
 	t := &l.types[typ]
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -87,6 +87,7 @@
 	more    chan struct{}
 	hung    bool
 	sick    bool
+	notice  time.Time // when the cloud takes the machine; zero: no notice
 }
 
 type fleetKey struct {
@@ -127,6 +128,13 @@
 	w.sick = true
 }
 
+// Notice announces that the cloud takes the machine after d.
+func (w *Worker) Notice(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notice = time.Now().Add(d)
+}
+
 // Tasks returns how many tasks are on the worker.
 func (w *Worker) Tasks() int {
 	w.mu.Lock()
@@ -242,6 +250,10 @@
 func (w *Worker) snapshot() []byte {
 	w.tick++
 	r := fleet.Report{Machine: w.Name, Addr: w.Addr, Type: w.cloud.Type.Name, Zone: w.Zone, Session: w.session, Tick: w.tick, Token: w.token}
+	if !w.notice.IsZero() {
+		left := time.Until(w.notice).Seconds()
+		r.RecallS = &left
+	}
 	for k, t := range w.tasks {
 		r.Tasks = append(r.Tasks, fleet.TaskReport{Task: k.task, Try: k.try, Status: t.status, Cause: t.cause})
 	}
