--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -49,14 +49,14 @@
 	orphans   []statestore.Op
 	raised    time.Time
 	pushers   map[string]*wire.Client
-	starved   map[*ledger.Job]int
+	without   int // tasks that found no machine in the last pass
 	blocked   map[pool]time.Time
 	offered   rental.Offered
 	learned   rental.Learned
 	lastArray *jobState
 	rentSeq   int
 	relays    map[string]*relayed // by node
-	renting   map[string]int      // machines asked for and not yet answered, by request
+	renting   map[string]string   // why machines were asked for, by request not yet answered
 }
 
 // jobState is what the leader knows of a job beyond its record.
@@ -86,8 +86,8 @@
 		typeIndex: map[string]int{}, zoneIndex: map[string]int{}, teamIndex: map[string]int{},
 		book: ledger.NewBook(), fleet: fleet.New(),
 		index: map[*fleet.Machine]*placement.Index{}, jobs: map[*ledger.Job]*jobState{},
-		pushers: map[string]*wire.Client{}, starved: map[*ledger.Job]int{},
-		blocked: map[pool]time.Time{}, renting: map[string]int{}, relays: map[string]*relayed{},
+		pushers: map[string]*wire.Client{},
+		blocked: map[pool]time.Time{}, renting: map[string]string{}, relays: map[string]*relayed{},
 		offered: rental.Offered{Memory: 150 * time.Second},
 		started: time.Now(), firstTerm: r.Term(),
 	}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -118,7 +118,7 @@
 			waiting = append(waiting, j)
 		}
 	})
-	clear(l.starved)
+	l.without = 0
 	if len(waiting) == 0 {
 		return
 	}
@@ -164,10 +164,8 @@
 		slog.Info("task preempted", "task", h.Name(), "machine", h.Machine, "for", waiting[s.For].Spec.ID)
 		l.fleet.At(s.Machine).Stop(h, h.Job.Spec.SaveS)
 	}
-	for i, n := range plan.Starved {
-		if n > 0 {
-			l.starved[waiting[i]] = n
-		}
+	for _, n := range plan.Starved {
+		l.without += n
 	}
 }
 
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -175,12 +176,13 @@
 
 func (l *lead) rented(r cloud.Rental, names []string) {
 	now := time.Now()
+	why := l.renting[r.Name]
 	delete(l.renting, r.Name)
 	p := pool{l.typeIndex[r.Type], l.zoneIndex[r.Zone], r.Spot}
 	if len(names) < r.Count {
 		l.blocked[p] = now.Add(refusalPause)
 	}
-	slog.Info("machines rented", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "machines", names)
+	slog.Info("machines rented", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "machines", names, "why", why)
 	for _, name := range names {
 		if l.fleet.Add(name, now) == nil {
 			continue
@@ -260,7 +262,8 @@
 			}
 		}
 	}
-	d := rental.Plan(l.demand(now), machines, pools, l.n.operator.IdleReturn)
+	demand, why := l.demand(now)
+	d := rental.Plan(demand, machines, pools, l.n.operator.IdleReturn)
 	for _, i := range d.Return {
 		m := ms[i]
 		m.Retire = "idle"
@@ -278,7 +281,7 @@
 		p := pools[r.Pool]
 		ask := cloud.Rental{Name: l.rentalName(), Type: l.types[p.Type].Name, Zone: l.zones[p.Zone], Spot: p.Spot,
 			Count: min(r.Count, cloud.MaxRent)}
-		l.renting[ask.Name] = ask.Count
+		l.renting[ask.Name] = why
 		asks = append(asks, ask)
 	}
 	return names, asks
@@ -302,8 +305,8 @@
 }
 
 // demand returns the tasks that should get a machine soon, the most important
-// first, and behind them the reserve. Running tasks are left out.
-func (l *lead) demand(now time.Time) []rental.Demand {
+// first, and behind them the reserve, and says why. Running tasks are left out.
+func (l *lead) demand(now time.Time) (out []rental.Demand, why string) {
 	used := l.teams()
 	var whole, arrays []*ledger.Job
 	l.book.Jobs(func(j *ledger.Job) {
@@ -326,7 +329,6 @@
 	}
 	byImportance(whole)
 	byImportance(arrays)
-	var out []rental.Demand
 	add := func(j *ledger.Job, n int) int {
 		st := l.jobs[j]
 		team := &used[st.team]
@@ -347,13 +349,19 @@
 	for _, j := range whole {
 		add(j, j.WaitingTasks())
 	}
-	out = append(out, l.reserve()...)
+	reserved := 0
+	for _, d := range l.reserve() {
+		reserved += d.Tasks
+		out = append(out, d)
+	}
 	// Arrays share what they need together: their tasks take turns on a machine.
 	taken := 0.0
 	for _, d := range out {
 		taken += float64(d.Tasks) * d.Need[placement.CPU]
 	}
 	turns := l.arrayTasks(taken, now)
+	why = fmt.Sprintf("%d tasks without room, %d more of arrays to run at once, room for %d of services to come",
+		l.without, max(0, turns), reserved)
 	for _, j := range arrays {
 		if turns <= 0 {
 			break
@@ -365,7 +373,7 @@
 		st := l.lastArray
 		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: -1, Spot: true, Tasks: turns})
 	}
-	return out
+	return out, why
 }
 
 // arrayTasks returns how many tasks of arrays should run at once, beside those
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -103,7 +103,6 @@
 // ended drops what the leader holds of a job whose end is recorded.
 func (l *lead) ended(j *ledger.Job) {
 	delete(l.jobs, j)
-	delete(l.starved, j)
 	j.Attempts(func(a *ledger.Attempt) { l.machine(a.Machine, time.Now()).Release(a) })
 	l.orphans = append(l.orphans, j.OrphanOps(1<<20)...)
 }
