--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,7 +4,7 @@
 // off from the state service alone that another one has been elected.
 package peer
 
-//go:generate sh -c "go build -o /tmp/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go && protoc --plugin=/tmp/protoc-gen-go --go_out=. --go_opt=paths=source_relative peer.proto"
+//go:generate sh -c "protoc --plugin=protoc-gen-go=$(go tool -n protoc-gen-go) --go_out=. --go_opt=paths=source_relative peer.proto"
 
 import (
 	"context"
