--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -138,12 +138,11 @@
 		jobs[i] = placement.Job{Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
 			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
-			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Warm: l.warm(j, warm), Avoid: l.avoid(st)}
-		j.Attempts(func(a *ledger.Attempt) {
-			if m := l.fleet.Machine(a.Machine); m != nil && m.Zone >= 0 {
-				jobs[i].InZone[m.Zone]++
-			}
-		})
+			Urgent: s.Shape == job.Service, Warm: l.warm(j, warm), Avoid: l.avoid(st)}
+		var known bool
+		if jobs[i].InZone, known = l.inZones(j); !known && (s.OneZone || s.Apart) {
+			jobs[i].Waiting = 0
+		}
 	}
 	plan := placement.Place(now, machines, jobs, l.teams())
 	next := make([]int, len(waiting))
@@ -169,6 +168,22 @@
 	}
 }
 
+// inZones returns how many live attempts of a job are in each zone, and whether
+// the zones of all are known. After an election those of machines that neither
+// the cloud's list nor a report has named are not; a job whose tasks are tied to
+// each other by zone is not placed on a guess.
+func (l *lead) inZones(j *ledger.Job) (in []int, known bool) {
+	in, known = make([]int, len(l.zones)), true
+	j.Attempts(func(a *ledger.Attempt) {
+		if m := l.fleet.Machine(a.Machine); m != nil && m.Zone >= 0 {
+			in[m.Zone]++
+		} else {
+			known = false
+		}
+	})
+	return in, known
+}
+
 // ratio returns the inverse of an array's response ratio: its work left over the
 // time that its user has waited, one task's run included.
 func (l *lead) ratio(j *ledger.Job, now time.Time) float64 {
