Share the reading of traces, and drop a copy of the tasks' needs

The two trace tests read their lines with the same code; the index counted resources from an array built anew for each task where the job's needs stood already; a parameter of raise was read by nobody. Behaviour as it was.

--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -21,7 +21,7 @@
 			if m.Type >= 0 {
 				m.Images.Use(s.Image, s.ImageGB, l.types[m.Type].Disk, now)
 			}
-			for r, n := range [...]float64{placement.CPU: s.CPUs, placement.Memory: s.RAM, placement.GPU: s.GPUs} {
+			for r, n := range l.jobs[h.Job].need {
 				if n > 0 {
 					counts[r]++
 				}
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -17,7 +17,7 @@
 		return
 	}
 	if l.needRaise(now) {
-		l.raise(now, depose)
+		l.raise(now)
 		return
 	}
 	ops := min(l.n.settings.State.TxnOps, l.n.store.Writable(statestore.User))
@@ -146,7 +146,7 @@
 	return need
 }
 
-func (l *lead) raise(now time.Time, depose context.CancelCauseFunc) {
+func (l *lead) raise(now time.Time) {
 	l.raised = now
 	l.writing = true
 	l.spawn(func() {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"strings"
@@ -34,18 +33,7 @@
 		t.Fatal(err)
 	}
 	tries := map[string]uint64{}
-	var out bytes.Buffer
-	sc := bufio.NewScanner(bytes.NewReader(trace))
-	for sc.Scan() {
-		line := sc.Text()
-		if strings.HasPrefix(line, ">") {
-			continue
-		}
-		fmt.Fprintln(&out, line)
-		word := strings.Fields(line)
-		if len(word) == 0 || word[0] == "#" {
-			continue
-		}
+	return tracetest.Replay(trace, func(out *bytes.Buffer, line string, word []string) {
 		number := func(i int) (n uint64) {
 			if _, err := fmt.Sscan(word[i], &n); err != nil {
 				t.Fatalf("%q: %v", line, err)
@@ -71,32 +59,31 @@
 			}
 			outcomes, fresh := m.Handle(r, now)
 			if !fresh {
-				fmt.Fprintln(&out, "> stale, ignored")
+				fmt.Fprintln(out, "> stale, ignored")
 			}
 			for _, o := range outcomes {
 				cause := o.Cause
 				if cause == CauseLost {
 					cause = "gone"
 				}
-				fmt.Fprintf(&out, "> task %d: %s\n", o.Hold.Task, cause)
+				fmt.Fprintf(out, "> task %d: %s\n", o.Hold.Task, cause)
 				book.End(o.Hold.Attempt, o.Cause == CauseDone, now)
 			}
 			if fresh && len(outcomes) == 0 {
-				fmt.Fprintln(&out, "> proves nothing")
+				fmt.Fprintln(out, "> proves nothing")
 			}
 		case "orders":
 			orders := m.Orders(number(1), 10, func(string) bool { return true }, now)
 			for _, o := range orders {
-				fmt.Fprintf(&out, "> %s %s\n", o.Verb, strings.TrimPrefix(o.Task, "wk-000001/"))
+				fmt.Fprintf(out, "> %s %s\n", o.Verb, strings.TrimPrefix(o.Task, "wk-000001/"))
 			}
 			if len(orders) == 0 {
-				fmt.Fprintln(&out, "> none")
+				fmt.Fprintln(out, "> none")
 			}
 		default:
 			t.Fatalf("%q", line)
 		}
-	}
-	return out.Bytes()
+	})
 }
 
 // A machine that was returned stays gone, however late a list or a report of it
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"math"
@@ -25,23 +24,12 @@
 
 func replay(t *testing.T, trace []byte) []byte {
 	now := time.Unix(1000, 0)
-	var out bytes.Buffer
 	var machines []Machine
 	var teams []Team
 	var jobs []Job
 	var index Index
 	clock := now
-	sc := bufio.NewScanner(bytes.NewReader(trace))
-	for sc.Scan() {
-		line := sc.Text()
-		if strings.HasPrefix(line, ">") {
-			continue
-		}
-		fmt.Fprintln(&out, line)
-		word := strings.Fields(line)
-		if len(word) == 0 || word[0] == "#" {
-			continue
-		}
+	return tracetest.Replay(trace, func(out *bytes.Buffer, line string, word []string) {
 		number := func(name string, missing float64) float64 {
 			for _, w := range word[1:] {
 				if k, v, ok := strings.Cut(w, "="); ok && k == name {
@@ -100,7 +88,7 @@
 				clock = clock.Add(time.Second)
 				index.Update(Amounts{CPU: float64(tasks), Memory: float64(tasks)}, clock, time.Second, 4*time.Second)
 			}
-			fmt.Fprintf(&out, "> index %.3f\n", index.Value())
+			fmt.Fprintf(out, "> index %.3f\n", index.Value())
 		case "place":
 			if teams == nil {
 				teams = []Team{{CPUsMax: 100}}
@@ -113,16 +101,15 @@
 						to = append(to, fmt.Sprint(a.Machine))
 					}
 				}
-				fmt.Fprintf(&out, "> job %d to machines [%s], %d without\n", i, strings.Join(to, " "), plan.Starved[i])
+				fmt.Fprintf(out, "> job %d to machines [%s], %d without\n", i, strings.Join(to, " "), plan.Starved[i])
 			}
 			for _, s := range plan.Stops {
-				fmt.Fprintf(&out, "> stop task %d on machine %d for job %d\n", s.Task, s.Machine, s.For)
+				fmt.Fprintf(out, "> stop task %d on machine %d for job %d\n", s.Task, s.Machine, s.For)
 			}
 		default:
 			t.Fatalf("%q", line)
 		}
-	}
-	return out.Bytes()
+	})
 }
 
 // The weights are e^(-1/T) for the old value and the rest for the new second,
--- a/internal/tracetest/tracetest.go
+++ b/internal/tracetest/tracetest.go
@@ -3,10 +3,13 @@
 package tracetest
 
 import (
+	"bufio"
 	"bytes"
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -39,3 +42,21 @@
 		})
 	}
 }
+
+// Replay hands the given lines of a trace to do, word by word, and returns the
+// trace with what do writes behind each. Comments and empty lines are kept.
+func Replay(trace []byte, do func(out *bytes.Buffer, line string, word []string)) []byte {
+	var out bytes.Buffer
+	sc := bufio.NewScanner(bytes.NewReader(trace))
+	for sc.Scan() {
+		line := sc.Text()
+		if strings.HasPrefix(line, ">") {
+			continue
+		}
+		fmt.Fprintln(&out, line)
+		if word := strings.Fields(line); len(word) > 0 && word[0] != "#" {
+			do(&out, line, word)
+		}
+	}
+	return out.Bytes()
+}
