--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -605,10 +605,11 @@
 	}
 	jobs := make([]placement.Job, len(waiting))
 	warm := map[string][]bool{}
+	beyond := l.beyond()
 	for i, j := range waiting {
 		st := l.jobs[j]
 		s := j.Spec
-		jobs[i] = placement.Job{ID: i, Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Need: st.need,
+		jobs[i] = placement.Job{ID: i, Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Beyond: beyond[j], Need: st.need,
 			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
 			InZone: make([]int, len(l.zones)), Urgent: s.Shape == job.Service, Warm: l.warm(j, warm)}
@@ -644,6 +645,31 @@
 	}
 }
 
+// beyond tells which jobs do not fit into their team's guarantee together with
+// the team's earlier unfinished jobs.
+func (l *lead) beyond() map[*ledger.Job]bool {
+	jobs := make([]*ledger.Job, 0, l.book.Len())
+	l.book.Jobs(func(j *ledger.Job) {
+		if l.jobs[j].team >= 0 && !j.Cancelled {
+			jobs = append(jobs, j)
+		}
+	})
+	sort.Slice(jobs, func(x, y int) bool { return jobs[x].Arrival < jobs[y].Arrival })
+	teams := l.n.settings.Teams
+	cpus, gpus := make([]float64, len(teams)), make([]float64, len(teams))
+	out := make(map[*ledger.Job]bool)
+	for _, j := range jobs {
+		t := l.jobs[j].team
+		n := float64(j.Spec.Tasks - j.DoneTasks())
+		cpus[t] += n * j.Spec.CPUs
+		gpus[t] += n * j.Spec.GPUs
+		if cpus[t] > teams[t].CPUs+1e-6 || gpus[t] > teams[t].GPUs+1e-6 {
+			out[j] = true
+		}
+	}
+	return out
+}
+
 // warm returns the machines that have a job's image, if a fetch of it takes
 // longer than the index remembers. Jobs with the same image share the list, so
 // that one pass sends them to the same machines.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -33,6 +33,7 @@
 	Team     int
 	Priority int
 	Arrival  uint64
+	Beyond   bool // its team has more unfinished work than it is guaranteed
 	Need     Amounts
 	Waiting  int
 	Types    []bool // allowed by dense type; nil: any
@@ -107,6 +108,12 @@
 		if a.Priority != b.Priority {
 			return a.Priority > b.Priority
 		}
+		// Exception to the design (priority, then arrival): work within its team's
+		// guarantee need not wait for other teams' work beyond theirs, as
+		// DEPLOY-tulipshelf.md promises ("guaranteed").
+		if a.Beyond != b.Beyond {
+			return b.Beyond
+		}
 		return a.Arrival < b.Arrival
 	})
 	for _, i := range order {
