Confirm all waiting polls with one read of the state service

Each node now keeps a copy of the records and brings it up to date with one read of the changes, sent after the polls came in; a cancellation told by another node is in it by then. At most a tenth of the service's rate goes into it, by setting.

Excluded: answering from the leader's memory alone (another node's cancellation is not in it until the watch brings it).

The test cluster let a rental under way outlive the test now and then; it waits for it.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,7 +29,7 @@
 	nodes   []*Node
 	stops   []context.CancelFunc
 	ended   []chan struct{}
-	client  int
+	client  atomic.Int64
 }
 
 const (
@@ -64,6 +65,7 @@
 			for i := range 3 {
 				c.kill(i)
 			}
+			time.Sleep(time.Second) // a rental under way is still carried out
 			for _, w := range c.cloud.Machines() {
 				body := wire.Marshal(map[string][]string{"shelves": {w.Name}})
 				c.cloud.Handle(ctx, &wire.Request{Method: "POST", Path: "/rentals/return", Body: body})
@@ -145,8 +147,7 @@
 }
 
 func (c *cluster) ask(node int, method, path string, body []byte) wire.Response {
-	c.client++
-	cl := wire.Client{Dial: c.net.Dial(fmt.Sprintf("user-%d", c.client)), Addr: nodeAddr(node)}
+	cl := wire.Client{Dial: c.net.Dial(fmt.Sprintf("user-%d", c.client.Add(1))), Addr: nodeAddr(node)}
 	defer cl.CloseIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -271,6 +272,45 @@
 	})
 }
 
+// Polls that come together are confirmed by one read, and what another node has
+// told a user is never answered over with an older state (grown deployments: a
+// request a poll took more than the state service's rate).
+func TestPollsShareReads(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		const jobs = 60
+		id := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
+		for i := range jobs {
+			c.until("submission taken", 10*time.Second, func() bool {
+				s := c.submit(i%3, submission(id(i), job.Service, 1, 0))
+				return s == 201 || s == 200
+			})
+		}
+		time.Sleep(30 * time.Second)
+		before := c.store.Asked()
+		got := make(chan string, jobs)
+		for i := range jobs {
+			go func() { got <- c.status(1, id(i)) }()
+		}
+		for range jobs {
+			if s := <-got; s != "pending" && s != "running" {
+				t.Errorf("poll: %s", s)
+			}
+		}
+		if n := c.store.Asked() - before; n > jobs/4 {
+			t.Errorf("%d polls at once took %d requests", jobs, n)
+		}
+		for i := range 20 {
+			if s := c.ask(i%3, "POST", "/v1/jobs/"+id(i)+"/abort", nil).Status; s != 200 {
+				t.Errorf("abort: %d", s)
+			}
+			if s := c.status((i+1)%3, id(i)); s != ledger.Cancelled {
+				t.Errorf("another node says %s after the cancellation was told", s)
+			}
+		}
+	})
+}
+
 // Safety 1: of a transaction whose answer is lost nothing is acknowledged
 // before it is read back, and one that is applied late is not applied twice.
 func TestUnansweredTransactions(t *testing.T) {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -86,6 +86,7 @@
 			}
 		},
 	}
+	n.intake.Init(s.State.RPS)
 	n.peers = &peer.Net{Dial: net.Dial, Node: s.Node, Known: n.candidate.Leader, Learned: n.candidate.Learn, Changed: n.onChanged}
 	for _, p := range s.Peers {
 		n.peers.Others = append(n.peers.Others, peer.Other{Node: p.Node, Addr: p.Addr})
@@ -129,6 +130,7 @@
 	}
 	run(n.peers.Run)
 	run(n.lodger.Run)
+	run(n.intake.Run)
 	run(n.tellChanged)
 	run(n.keepCatalog)
 	run(func(ctx context.Context) { n.candidate.Run(ctx, n.reign) })
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -27,10 +27,18 @@
 	Types     func() []cloud.Type // nil while the catalog is unknown
 	Changed   func(id string)     // a job was submitted or cancelled here
 
+	replica *replica
+
 	mu    sync.Mutex
 	final map[string]string // final states told or read, bounded
 }
 
+// Init readies the intake for a state service that allows rps requests a second.
+func (in *Intake) Init(rps float64) { in.replica = newReplica(in.Store, rps) }
+
+// Run keeps the copy of the records that polls are answered from, until ctx ends.
+func (in *Intake) Run(ctx context.Context) { in.replica.run(ctx) }
+
 // maxFinal bounds the cache of final states; any entry can be read again.
 const maxFinal = 20_000
 
@@ -199,45 +207,19 @@
 	return later()
 }
 
-// lookup reads a job's state. Both reads are linearizable, and the unfinished
-// job is read first: a job that ends in between is found by the second.
+// lookup returns a job's state from the copy of the records, brought up to date
+// after the call, or from its final state. The copy comes first: a job that ends
+// in between is found by the read.
 func (in *Intake) lookup(ctx context.Context, id string) (status, error) {
-	st := status{ID: id, Status: pending}
-	page, err := in.Store.List(ctx, ledger.JobKey(id), "", 1000, statestore.User)
-	if err != nil {
-		return st, err
-	}
-	found := false
-	for _, it := range page.Items {
-		key, chunk, ok := ledger.SplitKey(it.Key)
-		if !ok || key != id {
-			continue
-		}
-		if chunk < 0 {
-			rec, err := ledger.DecodeRecord(it.Value)
-			if err != nil {
-				return st, err
-			}
-			found = true
-			if rec.CancelledMS != 0 {
-				in.Finished(id, ledger.Cancelled)
-				st.Status = ledger.Cancelled
-				return st, nil
-			}
-			continue
-		}
-		done, live, err := ledger.CountDone(it.Value)
-		if err != nil {
-			return st, err
-		}
-		st.Done += done
-		st.Running += live
+	if err := in.replica.confirm(ctx); err != nil {
+		return status{}, err
 	}
-	if found {
-		if st.Running > 0 {
-			st.Status = running
+	st, found, err := in.replica.status(id)
+	if err != nil || found {
+		if st.Status == ledger.Cancelled {
+			in.Finished(id, ledger.Cancelled)
 		}
-		return st, nil
+		return st, err
 	}
 	it, err := in.Store.Get(ctx, ledger.EndKey(id), statestore.User)
 	if err != nil {
@@ -248,7 +230,7 @@
 		return st, err
 	}
 	in.Finished(id, end.Status)
-	st.Status, st.Running = end.Status, 0
+	st = status{ID: id, Status: end.Status}
 	if end.Status == ledger.Done {
 		st.Done = end.Tasks
 	}
--- /dev/null
+++ b/internal/intake/replica.go
@@ -0,0 +1,225 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/statestore"
+)
+
+// replica is this node's copy of what users may be told of unfinished jobs. One
+// read of the changes since the last one brings it up to date and so confirms, as
+// freshly as a read of their own, every answer that waited when it was sent.
+//
+// It guards against polls that cost a request each: with a few hundred jobs, each
+// asked about every 5 s, they took more than the state service's whole rate, and
+// the same users were refused again and again.
+type replica struct {
+	store *statestore.Client
+	gap   time.Duration // least time between two reads
+	wake  chan struct{}
+
+	mu      sync.Mutex
+	waiting *round
+	rev     uint64 // state of the copy; 0: not read
+	jobs    map[string]*view
+}
+
+// round is one read to come, and whoever waits for it.
+type round struct {
+	done chan struct{}
+	err  error
+}
+
+// view is what is known of one unfinished job.
+type view struct {
+	known     bool // its record has been seen, not only chunks
+	cancelled bool
+	broken    bool // its record cannot be read, so nothing is told of it
+	rev       uint64
+	chunks    map[int]tally
+}
+
+// tally counts one chunk's tasks.
+type tally struct {
+	rev        uint64
+	done, live int
+}
+
+// readShare is the part of the state service's rate that one node spends at most
+// on keeping its copy fresh while users ask.
+const readShare = 0.1
+
+func newReplica(store *statestore.Client, rps float64) *replica {
+	return &replica{store: store, gap: time.Duration(float64(time.Second) / (readShare * rps)),
+		wake: make(chan struct{}, 1), jobs: map[string]*view{}}
+}
+
+// confirm brings the copy to a state no older than the call.
+func (r *replica) confirm(ctx context.Context) error {
+	r.mu.Lock()
+	if r.waiting == nil {
+		r.waiting = &round{done: make(chan struct{})}
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
+	w := r.waiting
+	r.mu.Unlock()
+	select {
+	case <-w.done:
+		return w.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// run reads whenever somebody waits, until ctx ends.
+func (r *replica) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+		r.mu.Lock()
+		w := r.waiting
+		r.waiting = nil
+		r.mu.Unlock()
+		if w == nil {
+			continue
+		}
+		began := time.Now()
+		if w.err = r.refresh(ctx); w.err != nil {
+			slog.Debug("copy of the records not refreshed", "err", w.err)
+		}
+		close(w.done)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(r.gap - time.Since(began)):
+		}
+	}
+}
+
+// refresh reads the changes since the last time, or everything.
+func (r *replica) refresh(ctx context.Context) error {
+	if r.rev == 0 {
+		if err := r.load(ctx); err != nil {
+			return err
+		}
+	}
+	rctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	events, rev, err := r.store.Changes(rctx, ledger.JobPrefix, r.rev)
+	if errors.Is(err, statestore.ErrCompacted) {
+		r.rev = 0
+	}
+	if err != nil {
+		return fmt.Errorf("intake: changes: %w", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range events {
+		r.apply(&events[i])
+	}
+	r.rev = max(r.rev, rev)
+	return nil
+}
+
+// load reads all records. Its pages are of different revisions; the changes since
+// the first one put that right, as what is older than what was read is passed over.
+func (r *replica) load(ctx context.Context) error {
+	r.mu.Lock()
+	r.jobs = map[string]*view{}
+	r.mu.Unlock()
+	rev, after := uint64(0), ""
+	for {
+		page, err := r.store.List(ctx, ledger.JobPrefix, after, 1000, statestore.User)
+		if err != nil {
+			return fmt.Errorf("intake: records: %w", err)
+		}
+		if rev == 0 {
+			rev = page.Rev
+		}
+		r.mu.Lock()
+		for _, it := range page.Items {
+			r.apply(&statestore.Event{Put: it.Key, Value: it.Value, Rev: it.Rev})
+			after = it.Key
+		}
+		r.mu.Unlock()
+		if !page.More || len(page.Items) == 0 {
+			r.rev = rev
+			return nil
+		}
+	}
+}
+
+func (r *replica) apply(e *statestore.Event) {
+	id, chunk, ok := ledger.SplitKey(e.Put + e.Delete)
+	if !ok {
+		return
+	}
+	v := r.jobs[id]
+	if v == nil {
+		if e.Delete != "" {
+			return
+		}
+		v = &view{chunks: map[int]tally{}}
+		r.jobs[id] = v
+	}
+	switch {
+	case chunk >= 0 && e.Rev <= v.chunks[chunk].rev, chunk < 0 && e.Rev <= v.rev:
+	case chunk >= 0 && e.Delete != "":
+		delete(v.chunks, chunk)
+	case chunk >= 0:
+		done, live, err := ledger.CountDone(e.Value)
+		if err != nil {
+			slog.Error("chunk unreadable", "key", e.Put, "err", err)
+		}
+		v.chunks[chunk] = tally{e.Rev, done, live}
+	case e.Delete != "":
+		v.known, v.rev = false, e.Rev
+	default:
+		cancelled, err := ledger.IsCancelled(e.Value)
+		if err != nil {
+			slog.Error("job record unreadable", "key", e.Put, "err", err)
+		}
+		v.known, v.cancelled, v.broken, v.rev = true, cancelled, err != nil, e.Rev
+	}
+	if !v.known && len(v.chunks) == 0 {
+		delete(r.jobs, id)
+	}
+}
+
+var errBroken = errors.New("intake: record unreadable")
+
+// status returns what the copy says of an unfinished job.
+func (r *replica) status(id string) (st status, found bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.jobs[id]
+	switch {
+	case v == nil || !v.known:
+		return status{}, false, nil
+	case v.broken:
+		return status{}, true, errBroken
+	case v.cancelled:
+		return status{ID: id, Status: ledger.Cancelled}, true, nil
+	}
+	st = status{ID: id, Status: pending}
+	for _, c := range v.chunks {
+		st.Done += c.done
+		st.Running += c.live
+	}
+	if st.Running > 0 {
+		st.Status = running
+	}
+	return st, true, nil
+}
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -212,6 +212,17 @@
 	return r, nil
 }
 
+// IsCancelled reads from the value of a job's key whether it is cancelled.
+func IsCancelled(value []byte) (bool, error) {
+	var r struct {
+		CancelledMS int64 `cbor:"cancelled_ms"`
+	}
+	if err := wire.Unmarshal(value, &r); err != nil {
+		return false, fmt.Errorf("ledger: job record: %w", err)
+	}
+	return r.CancelledMS != 0, nil
+}
+
 // PutJob takes a job's record as read at rev. It returns the job and whether
 // it is new or newly cancelled.
 func (b *Book) PutJob(value []byte, rev uint64) (*Job, bool, error) {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -25,6 +25,7 @@
 	lose    int // answers of so many transactions to come are lost after they were applied
 	late    []func()
 	hold    int // so many transactions to come are held back and go unanswered
+	asked   int // requests so far
 }
 
 type entry struct {
@@ -82,6 +83,13 @@
 	}
 }
 
+// Asked returns how many requests have come.
+func (s *Store) Asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
 // Keys returns the keys that begin with prefix.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
@@ -102,6 +110,9 @@
 
 // Handle answers one request.
 func (s *Store) Handle(ctx context.Context, req *wire.Request) wire.Response {
+	s.mu.Lock()
+	s.asked++
+	s.mu.Unlock()
 	time.Sleep(5 * time.Millisecond)
 	q := query(req.Query)
 	if req.Path == "/changes" {
@@ -259,8 +270,12 @@
 	after, _ := strconv.ParseUint(q["after"], 10, 64)
 	ms, _ := strconv.Atoi(q["wait_ms"])
 	deadline := time.After(time.Duration(ms) * time.Millisecond)
-	for {
+	for begun := false; ; begun = true {
 		s.mu.Lock()
+		if s.down && !begun {
+			s.mu.Unlock()
+			return wire.Response{Status: 503} // only watches that are open stay open
+		}
 		var found []statestore.Event
 		for _, e := range s.events {
 			if e.Rev > after && strings.HasPrefix(e.Put+e.Delete, q["starts"]) {
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -185,6 +185,20 @@
 	c.reqs.take(1, Lease)
 	ctx, cancel := context.WithTimeout(ctx, wait+2*time.Second)
 	defer cancel()
+	return c.changes(ctx, prefix, after, wait)
+}
+
+// Changes returns the changes of keys that begin with prefix after the given
+// revision, at once: a linearizable read, as the revision they reach to is the
+// service's own.
+func (c *Client) Changes(ctx context.Context, prefix string, after uint64) ([]Event, uint64, error) {
+	if !c.reqs.take(1, User) {
+		return nil, 0, ErrBudget
+	}
+	return c.changes(ctx, prefix, after, 0)
+}
+
+func (c *Client) changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
 	var out struct {
 		Rev    uint64  `cbor:"epoch"`
 		Events []Event `cbor:"events"`
