Write ends before starts and leave users a part of the write rate

Ends of done jobs come first now, starts leave a quarter of a second's rate to users, lone completions half and wait up to 12 s when it is short; the leader may use 0.8 of the service's changes, being nearly the only one that writes.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -44,7 +44,10 @@
 // nodeShare is the part of the region's request rates that one node may use.
 // The parts overlap, since the leader needs most and any node may lead; where
 // two need much at once the service's own 429 decides.
-const nodeShare = 0.6
+const (
+	nodeShare  = 0.6
+	writeShare = 0.8 // nearly all changes are the leader's
+)
 
 // Network is how a node reaches others and is reached. The zero value is TCP;
 // tests put stand-ins there.
@@ -64,7 +67,7 @@
 		settings: s,
 		operator: o,
 		changed:  make(chan string, 64),
-		store:    statestore.New(net.Dial, s.StateAddr, s.State.RPS*nodeShare, s.State.WriteRPS*nodeShare),
+		store:    statestore.New(net.Dial, s.StateAddr, s.State.RPS*nodeShare, s.State.WriteRPS*writeShare),
 		cloud:    cloud.New(net.Dial, s.CloudAddr, s.Cloud.RPS*nodeShare),
 	}
 	n.lodger = &relay.Lodger{Node: s.Node, Store: n.store, ValueBytes: s.State.ValueBytes}
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -20,16 +20,16 @@
 		l.raise(now)
 		return
 	}
-	ops := min(l.n.settings.State.TxnOps, l.n.store.Writable(statestore.User))
+	ops := min(l.n.settings.State.TxnOps, l.n.store.Writable(statestore.Work))
 	fence := l.reign.Fence()
-	batch := l.book.NextBatch(fence, ops, now)
+	batch := l.book.NextBatch(fence, ops, l.n.store.Writable(statestore.Rest), now)
 	if batch == nil {
 		l.clearOrphans(fence)
 		return
 	}
 	l.writing = true
 	l.spawn(func() {
-		rev, err := l.n.store.Txn(l.ctx, batch.Conds, batch.Ops, statestore.User)
+		rev, err := l.n.store.Txn(l.ctx, batch.Conds, batch.Ops, statestore.Work)
 		l.post(func() { l.written(batch, rev, err, fence, depose) })
 	})
 }
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -8,10 +8,25 @@
 	"tulipshelf/internal/wire"
 )
 
-// lazy is how long completions and losses that finish no job may wait for
-// company. Until they are written the worker still reports them, or they are
-// found out again; nothing is told to anybody on their strength.
-const lazy = 2 * time.Second
+// Completions and losses that finish no job wait for company, and longer while
+// the state service's rate is short. Until they are written the worker still
+// reports them, or they are found out again; nothing is told to anybody on their
+// strength.
+const (
+	lazy    = 2 * time.Second
+	overdue = 12 * time.Second // from then on they are written like starts
+)
+
+// Urgencies of changes. The end of a job that is done comes first: its user waits
+// for it, and a stream of starts would hold it back for minutes. The end of a
+// cancelled job is known from its record already.
+const (
+	keyLazy      = 0
+	keyCancelled = 1
+	keyOverdue   = 50
+	keyStart     = 200
+	keyDone      = 300
+)
 
 // maxBatch keeps a transaction below the state service's 64 KiB.
 const maxBatch = 48 << 10
@@ -36,9 +51,9 @@
 }
 
 // NextBatch builds the most urgent changes into one transaction of at most
-// maxOps changes, fenced by the leader's term, or returns nil. One batch is in
-// flight at a time.
-func (b *Book) NextBatch(fence statestore.Cond, maxOps int, now time.Time) *Batch {
+// maxOps changes, fenced by the leader's term, or returns nil. What can wait is
+// left out once there are spareOps. One batch is in flight at a time.
+func (b *Book) NextBatch(fence statestore.Cond, maxOps, spareOps int, now time.Time) *Batch {
 	type cand struct {
 		j   *Job
 		c   *chunk // nil: the job's end
@@ -47,7 +62,11 @@
 	var cands []cand
 	for j := range b.dirty {
 		if j.over() {
-			cands = append(cands, cand{j, nil, 100 + j.Spec.Rank()})
+			key := keyDone
+			if j.Cancelled {
+				key = keyCancelled
+			}
+			cands = append(cands, cand{j, nil, key})
 			continue
 		}
 		for _, c := range j.chunks {
@@ -56,9 +75,11 @@
 			case c.starts && j.Cancelled:
 				// The starts are about to be taken back, unsent.
 			case c.starts:
-				cands = append(cands, cand{j, c, 200 + j.Spec.Rank()})
+				cands = append(cands, cand{j, c, keyStart + j.Spec.Rank()})
+			case now.Sub(c.since) >= overdue:
+				cands = append(cands, cand{j, c, keyOverdue})
 			case now.Sub(c.since) >= lazy:
-				cands = append(cands, cand{j, c, 0})
+				cands = append(cands, cand{j, c, keyLazy})
 			}
 		}
 	}
@@ -78,9 +99,12 @@
 	out := &Batch{Conds: []statestore.Cond{fence}}
 	size := 0
 	for _, k := range cands {
-		if len(out.Ops) >= maxOps || size > maxBatch {
+		if len(out.Ops) >= maxOps || size > maxBatch || k.key < keyOverdue && len(out.Ops) >= spareOps {
 			break
 		}
+		if k.key == keyDone && maxOps-len(out.Ops) < 2 {
+			break // less urgent changes would use up what it waits for
+		}
 		if k.c == nil {
 			out.addEnd(k.j, maxOps)
 			size += 200
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -35,7 +35,7 @@
 func start(t *testing.T, b *Book, j *Job, task int, rev uint64) *Attempt {
 	t.Helper()
 	a := b.Start(j, task, b.NextTry(1), "vm-1", 1, t0)
-	bt := b.NextBatch(fence, 8, t0)
+	bt := b.NextBatch(fence, 8, 8, t0)
 	if bt == nil {
 		t.Fatal("start is not written")
 	}
@@ -61,7 +61,7 @@
 	b := NewBook()
 	j := put(t, b, "wk-000001", 6, false, 10)
 	a := b.Start(j, 5, b.NextTry(3), "vm-1", 2, t0)
-	bt := b.NextBatch(fence, 8, t0)
+	bt := b.NextBatch(fence, 8, 8, t0)
 	if !hasCond(bt, fence.Key, 7) || !hasCond(bt, "job/wk-000001", 10) || !hasCond(bt, "job/wk-000001/000001", 0) {
 		t.Fatalf("conditions %v", bt.Conds)
 	}
@@ -72,7 +72,7 @@
 		t.Fatalf("attempt of term %d", TryTerm(a.Try))
 	}
 	b.Failed(bt)
-	if again := b.NextBatch(fence, 8, t0); again == nil || !hasCond(again, "job/wk-000001/000001", 0) {
+	if again := b.NextBatch(fence, 8, 8, t0); again == nil || !hasCond(again, "job/wk-000001/000001", 0) {
 		t.Fatal("a start whose write failed is not written again under the same condition")
 	}
 }
@@ -92,14 +92,14 @@
 		t.Fatal(err)
 	}
 	b.Loaded()
-	if bt := b.NextBatch(fence, 8, t0.Add(time.Minute)); bt != nil {
+	if bt := b.NextBatch(fence, 8, 8, t0.Add(time.Minute)); bt != nil {
 		t.Fatalf("job with a live attempt is ended: %+v", bt.Ops)
 	}
 	if k.LiveTasks() != 1 || b.Job("wk-000001") == nil {
 		t.Fatalf("%d live attempts", k.LiveTasks())
 	}
 	b.End(k.LiveAttempt(0), false, t0)
-	bt := b.NextBatch(fence, 8, t0)
+	bt := b.NextBatch(fence, 8, 8, t0)
 	if bt == nil || len(bt.Ops) != 3 || bt.Ops[0].Put != "end/wk-000001" {
 		t.Fatalf("end is not recorded: %+v", bt)
 	}
@@ -110,7 +110,7 @@
 	j := put(t, b, "wk-000001", 1, false, 10)
 	a := start(t, b, j, 0, 11)
 	b.End(a, true, t0)
-	bt := b.NextBatch(fence, 8, t0)
+	bt := b.NextBatch(fence, 8, 8, t0)
 	if bt == nil || !hasCond(bt, "job/wk-000001", 10) {
 		t.Fatal("end is not conditioned on the job as known")
 	}
@@ -151,7 +151,7 @@
 	}
 	rev := uint64(1)
 	for {
-		bt := b.NextBatch(fence, 8, t0)
+		bt := b.NextBatch(fence, 8, 8, t0)
 		if bt == nil {
 			break
 		}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -33,10 +33,16 @@
 // From what may go into debt to what waits first.
 const (
 	Lease Urgency = iota // leadership: never held back here
-	User                 // submissions, cancellations, starts, completions
+	User                 // submissions, cancellations, polls
+	Work                 // starts and ends of jobs
 	Rest                 // everything else
 )
 
+// kept is the part of a second's rate that an urgency leaves to the more urgent.
+// Starts alone can use up all there is while a few arrays run, and then users
+// were refused at the node that leads (a quiet day of omaruru-fares-grown).
+var kept = [...]float64{Work: 0.25, Rest: 0.5}
+
 // Item is one key with its value and revision.
 type Item struct {
 	Key   string   `cbor:"path"`
@@ -280,9 +286,5 @@
 
 // left returns how much the urgency may take now.
 func (b bucket) left(u Urgency) int {
-	tokens := b.Tokens()
-	if u == Rest {
-		tokens -= 0.3 * float64(b.Burst())
-	}
-	return max(0, int(tokens))
+	return max(0, int(b.Tokens()-kept[u]*float64(b.Burst())))
 }
