Run a placement pass when something changed, on views that are kept

Cause: every report led to a pass with a fresh view of every machine, sorts and allocations included. Now a pass follows a change, takes at most a fifth of the time, and a machine's view is made anew only when what is on it changed; the rental plan goes through machines once a kind of demand.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -36,27 +36,31 @@
 	zones     []string
 	teamIndex map[string]int
 
-	started   time.Time
-	firstTerm uint64 // of this reign
-	loaded    bool
-	gathered  bool
-	listed    bool // the cloud's list has been read
-	book      *ledger.Book
-	fleet     *fleet.Fleet
-	index     map[*fleet.Machine]*placement.Index
-	jobs      map[*ledger.Job]*jobState
-	writing   bool // a ledger transaction or a raise is in flight
-	orphans   []statestore.Op
-	raised    time.Time
-	pushers   map[string]*wire.Client
-	without   int // tasks that found no machine in the last pass
-	blocked   map[pool]time.Time
-	offered   rental.Offered
-	learned   rental.Learned
-	lastArray *jobState
-	rentSeq   int
-	relays    map[string]*relayed // by node
-	renting   map[string]string   // why machines were asked for, by request not yet answered
+	started    time.Time
+	firstTerm  uint64 // of this reign
+	loaded     bool
+	gathered   bool
+	listed     bool // the cloud's list has been read
+	book       *ledger.Book
+	fleet      *fleet.Fleet
+	machines   map[*fleet.Machine]*machineState
+	jobs       map[*ledger.Job]*jobState
+	writing    bool // a ledger transaction or a raise is in flight
+	orphans    []statestore.Op
+	raised     time.Time
+	raiseAsked time.Time // when it was last looked whether a new term is needed
+	pushers    map[string]*wire.Client
+	replan     bool // something has changed since the last pass
+	placed     time.Time
+	passTook   time.Duration
+	without    int // tasks that found no machine in the last pass
+	blocked    map[pool]time.Time
+	offered    rental.Offered
+	learned    rental.Learned
+	lastArray  *jobState
+	rentSeq    int
+	relays     map[string]*relayed // by node
+	renting    map[string]string   // why machines were asked for, by request not yet answered
 }
 
 // jobState is what the leader knows of a job beyond its record.
@@ -71,6 +75,18 @@
 	backoff   time.Duration
 }
 
+// machineState is what the leader works out of a machine: its index, and what is
+// on it as placement sees it, made anew when the machine's version has changed.
+type machineState struct {
+	index   placement.Index
+	version uint64
+	typ     int
+	valid   bool
+	free    placement.Amounts
+	tasks   []placement.Task
+	holds   []*fleet.Hold
+}
+
 // pool is a kind of machine that is rented as one.
 type pool struct {
 	typ, zone int
@@ -85,7 +101,7 @@
 		events:    make(chan func(), maxEvents),
 		typeIndex: map[string]int{}, zoneIndex: map[string]int{}, teamIndex: map[string]int{},
 		book: ledger.NewBook(), fleet: fleet.New(),
-		index: map[*fleet.Machine]*placement.Index{}, jobs: map[*ledger.Job]*jobState{},
+		machines: map[*fleet.Machine]*machineState{}, jobs: map[*ledger.Job]*jobState{},
 		pushers: map[string]*wire.Client{},
 		blocked: map[pool]time.Time{}, renting: map[string]string{}, relays: map[string]*relayed{},
 		offered: rental.Offered{Memory: 150 * time.Second},
@@ -276,6 +292,7 @@
 		st.types[i] = intake.Allows(s, &l.types[i])
 	}
 	l.jobs[j] = st
+	l.replan = true
 	if s.Shape == job.Array && !j.Cancelled {
 		l.offered.Add(float64(s.Tasks)*l.expect(j), time.Now())
 		l.lastArray = st
@@ -395,9 +412,10 @@
 		// A machine that was returned holds nothing; an empty one stands for it.
 		m = &fleet.Machine{Name: name, Gone: true}
 	}
-	if l.index[m] == nil && !m.Gone {
+	if l.machines[m] == nil && !m.Gone {
 		m.Type, m.Zone = -1, -1
-		l.index[m] = &placement.Index{}
+		l.machines[m] = &machineState{}
+		l.replan = true
 	}
 	return m
 }
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -27,7 +27,7 @@
 				}
 			}
 		}
-		l.index[m].Update(counts, now, op.IndexUpdate, op.Smoothing)
+		l.machines[m].index.Update(counts, now, op.IndexUpdate, op.Smoothing)
 		if len(m.Holds) > 0 {
 			m.IdleSince = now
 		}
@@ -70,24 +70,31 @@
 	return placement.Amounts{placement.CPU: t.CPUs, placement.Memory: t.RAM, placement.GPU: t.GPUs}
 }
 
-// view returns a machine as placement sees it.
-func (l *lead) view(m *fleet.Machine, now time.Time) placement.Machine {
+// view returns a machine as placement sees it, and its holds in the order of its
+// tasks. What is on it is worked out anew only when it has changed: a pass looks
+// at every machine, and most have changed nothing since the last.
+func (l *lead) view(m *fleet.Machine, now time.Time) (placement.Machine, []*fleet.Hold) {
 	v := placement.Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
 	if m.Gone || m.Type < 0 || m.Zone < 0 {
-		return v
+		return v, nil
 	}
-	v.Free = l.capacity(m.Type)
-	for i, h := range m.Sorted() {
-		v.Free = v.Free.Add(l.jobs[h.Job].need, -1)
-		v.Tasks = append(v.Tasks, placement.Task{ID: i, Need: l.jobs[h.Job].need,
-			Priority: h.Job.Spec.Rank(), Team: l.jobs[h.Job].team, Since: h.Since, Stopping: h.Stopping})
+	st := l.machines[m]
+	if !st.valid || st.version != m.Version || st.typ != m.Type {
+		st.valid, st.version, st.typ = true, m.Version, m.Type
+		st.free = l.capacity(m.Type)
+		st.holds = m.Sorted()
+		st.tasks = make([]placement.Task, 0, len(st.holds))
+		for i, h := range st.holds {
+			job := l.jobs[h.Job]
+			st.free = st.free.Add(job.need, -1)
+			st.tasks = append(st.tasks, placement.Task{ID: i, Need: job.need,
+				Priority: h.Job.Spec.Rank(), Team: job.team, Since: h.Since, Stopping: h.Stopping})
+		}
 	}
-	foreign := false
-	m.Foreign(func(string) { foreign = true })
-	v.Load = l.index[m].Value()
-	v.Open = m.Known && !foreign && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
+	v.Free, v.Tasks, v.Load = st.free, st.tasks, st.index.Value()
+	v.Open = m.Known && !m.Foreign() && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
 		now.Sub(m.Heard) < l.n.operator.Silent
-	return v
+	return v, st.holds
 }
 
 // teams returns limits and use; every attempt counts that is not proven gone.
@@ -105,11 +112,29 @@
 	return out
 }
 
-// place makes one placement pass.
+// A pass follows what has changed, but not so closely that passes alone keep the
+// processor busy: renewals and reports come first. What time alone changes is
+// looked at once a second.
+const (
+	passGap   = 50 * time.Millisecond
+	passShare = 5 // at most one in so many seconds goes into passes
+)
+
+// place makes one placement pass if one is due.
 func (l *lead) place(now time.Time) {
+	since := now.Sub(l.placed)
+	if since < max(passGap, passShare*l.passTook) || !l.replan && since < time.Second {
+		return
+	}
 	if !l.reign.Valid() || !l.ready(now) {
 		return
 	}
+	l.replan, l.placed = false, now
+	l.pass(now)
+	l.passTook = time.Since(now)
+}
+
+func (l *lead) pass(now time.Time) {
 	var waiting []*ledger.Job
 	l.book.Jobs(func(j *ledger.Job) {
 		// A gang starts anew only once all of it is gone: a part would wait in vain.
@@ -126,8 +151,7 @@
 	machines := make([]placement.Machine, l.fleet.Size())
 	held := make([][]*fleet.Hold, len(machines))
 	for i := range machines {
-		machines[i] = l.view(l.fleet.At(i), now)
-		held[i] = l.fleet.At(i).Sorted()
+		machines[i], held[i] = l.view(l.fleet.At(i), now)
 	}
 	jobs := make([]placement.Job, len(waiting))
 	warm := map[string][]bool{}
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -20,6 +20,13 @@
 	next    time.Time
 }
 
+// How often it is looked whether commands for a go-between have changed, and the
+// least time between two writes of them.
+const (
+	relayEvery   = 250 * time.Millisecond
+	relayWritten = time.Second
+)
+
 // followRelay takes reports that come through the state service.
 func (l *lead) followRelay(ctx context.Context) {
 	var rev uint64
@@ -81,6 +88,7 @@
 		if s.writing || now.Before(s.next) {
 			continue
 		}
+		s.next = now.Add(relayEvery)
 		term := l.reign.Term()
 		box := relay.Box{Term: term, Machines: map[string]relay.Order{}}
 		some := false
@@ -107,7 +115,7 @@
 		if bytes.Equal(value, s.written) {
 			continue
 		}
-		s.writing, s.next = true, now.Add(time.Second)
+		s.writing, s.next = true, now.Add(relayWritten)
 		fence := l.reign.Fence()
 		l.spawn(func() {
 			_, err := l.n.store.Txn(l.ctx, []statestore.Cond{fence}, []statestore.Op{{Put: relay.DownKey(node), Value: value}}, statestore.User)
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -168,9 +168,10 @@
 		for _, o := range l.fleet.Removed(name, now) {
 			l.outcome(m, o, now)
 		}
-		delete(l.index, m)
+		delete(l.machines, m)
 		delete(l.pushers, name)
 	}
+	l.replan = true
 	slog.Info("machines returned", "machines", names)
 }
 
@@ -239,7 +240,7 @@
 		if m.Type < 0 || m.Zone < 0 || m.Retire != "" {
 			return
 		}
-		v := l.view(m, now)
+		v, _ := l.view(m, now)
 		ms = append(ms, m)
 		machines = append(machines, rental.Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: v.Free,
 			Usable: v.Open || !m.Known && !m.Failed && !l.overdueBoot(m, now),
@@ -396,7 +397,7 @@
 	free := 0.0
 	l.fleet.Each(func(m *fleet.Machine) {
 		if m.Type >= 0 && m.Retire == "" && !m.Sick && (m.Known || !l.overdueBoot(m, now)) {
-			v := l.view(m, now)
+			v, _ := l.view(m, now)
 			free += v.Free[placement.CPU]
 		}
 	})
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -48,10 +48,13 @@
 	}
 	m := l.machine(r.Machine, now)
 	m.Type, m.Zone = l.lookup(r.Type, r.Zone)
+	was := m.Version
+	idle := !m.Known || now.Sub(m.Heard) >= l.n.operator.Silent
 	outcomes, fresh := m.Handle(r, now)
 	if !fresh {
 		return m
 	}
+	l.replan = l.replan || idle || m.Version != was
 	for _, o := range outcomes {
 		l.outcome(m, o, now)
 	}
@@ -109,6 +112,7 @@
 	a := o.Hold.Attempt
 	slog.Debug("attempt ended", "task", a.Name(), "try", a.Try, "machine", m.Name, "cause", o.Cause)
 	l.book.End(a, o.Cause == fleet.CauseDone, now)
+	l.replan = true
 	st := l.jobs[a.Job]
 	if st == nil {
 		return
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -102,6 +102,7 @@
 
 // ended drops what the leader holds of a job whose end is recorded.
 func (l *lead) ended(j *ledger.Job) {
+	l.replan = true
 	delete(l.jobs, j)
 	j.Attempts(func(a *ledger.Attempt) { l.machine(a.Machine, time.Now()).Release(a) })
 	l.orphans = append(l.orphans, j.OrphanOps(1<<20)...)
@@ -129,9 +130,10 @@
 // needRaise tells whether a new term is needed: to prove that starts which were
 // never answered cannot act any more, or to let exited tasks be forgotten.
 func (l *lead) needRaise(now time.Time) bool {
-	if now.Sub(l.raised) < raiseGap || now.Sub(l.started) < raiseGap {
+	if now.Sub(l.raised) < raiseGap || now.Sub(l.started) < raiseGap || now.Sub(l.raiseAsked) < time.Second {
 		return false
 	}
+	l.raiseAsked = now
 	need := false
 	l.fleet.Each(func(m *fleet.Machine) {
 		if m.Retained() > maxExited {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,7 +3,8 @@
 package fleet
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -121,7 +122,9 @@
 
 	Images    Images
 	IdleSince time.Time
-	urgent    bool // commands wait to be pushed
+	Version   uint64 // raised by every change of what is on the machine
+	urgent    bool   // commands wait to be pushed
+	foreign   bool
 }
 
 // Outcome is the proof that a hold has ended.
@@ -188,24 +191,26 @@
 func (m *Machine) Hold(a *ledger.Attempt, now time.Time) *Hold {
 	h := &Hold{Attempt: a, Since: now}
 	m.Holds[key{a.Name(), a.Try}] = h
+	m.Version++
 	return h
 }
 
 // Release forgets an attempt that was never sent.
-func (m *Machine) Release(a *ledger.Attempt) { delete(m.Holds, key{a.Name(), a.Try}) }
+func (m *Machine) Release(a *ledger.Attempt) {
+	k := key{a.Name(), a.Try}
+	delete(m.Holds, k)
+	if s, listed := m.Seen[k]; listed && s.Status != Exited {
+		m.foreign = true
+	}
+	m.Version++
+}
 
 // HoldOf returns the hold of an attempt, or nil.
 func (m *Machine) HoldOf(a *ledger.Attempt) *Hold { return m.Holds[key{a.Name(), a.Try}] }
 
-// Foreign tells whether the machine reports a live attempt that is booked
+// Foreign tells whether the newest report listed a live attempt that was booked
 // nowhere: it takes room all the same.
-func (m *Machine) Foreign(fn func(task string)) {
-	for k, s := range m.Seen {
-		if s.Status != Exited && m.Holds[k] == nil {
-			fn(k.task)
-		}
-	}
-}
+func (m *Machine) Foreign() bool { return m.foreign }
 
 // Retained returns how many exited attempts the worker still reports.
 func (m *Machine) Retained() int {
@@ -243,6 +248,7 @@
 	}
 	m.Holds = nil
 	m.Seen = nil
+	m.Version++
 	return out
 }
 
@@ -252,16 +258,15 @@
 	for _, h := range m.Holds {
 		out = append(out, h)
 	}
-	sort.Slice(out, func(i, j int) bool {
-		a, b := out[i], out[j]
-		if a.Try != b.Try {
-			return a.Try < b.Try
-		}
-		return a.Task < b.Task // the tasks of a gang share a try
-	})
+	slices.SortFunc(out, compare)
 	return out
 }
 
+func compare(a, b *Hold) int {
+	// The tasks of a gang share a try.
+	return cmp.Or(cmp.Compare(a.Try, b.Try), cmp.Compare(a.Task, b.Task))
+}
+
 // Handle takes a report and returns what it proves. It returns false for a
 // report that is older than one already taken.
 //
@@ -283,8 +288,7 @@
 	for _, t := range r.Tasks {
 		m.Seen[key{t.Task, t.Try}] = Seen{t.Status, t.Cause}
 	}
-	for _, h := range m.Sorted() {
-		k := key{h.Name(), h.Try}
+	for k, h := range m.Holds {
 		s, listed := m.Seen[k]
 		switch {
 		case h.Session < r.Session:
@@ -304,7 +308,17 @@
 			continue
 		}
 		delete(m.Holds, k)
+		m.Version++
+	}
+	foreign := false
+	for k, s := range m.Seen {
+		foreign = foreign || s.Status != Exited && m.Holds[k] == nil
+	}
+	if foreign != m.foreign {
+		m.foreign = foreign
+		m.Version++
 	}
+	slices.SortFunc(out, func(a, b Outcome) int { return compare(a.Hold, b.Hold) })
 	return out, true
 }
 
@@ -313,22 +327,31 @@
 // exited task is only forgotten once settled says that its result is durable.
 func (m *Machine) Orders(token uint64, limit int, settled func(task string) bool, now time.Time) []Order {
 	m.urgent = false
+	var need []*Hold
+	for k, h := range m.Holds {
+		_, listed := m.Seen[k]
+		switch {
+		case h.Stopping && (listed || !h.Sent.IsZero()):
+			need = append(need, h)
+		case !listed && !h.Stopping && h.Recorded && h.Session == m.Session && ledger.TryTerm(h.Try) == token:
+			// A start recorded under an earlier token is never sent again: the
+			// worker's next reports prove it gone.
+			need = append(need, h)
+		}
+	}
+	slices.SortFunc(need, compare)
 	var out []Order
-	for _, h := range m.Sorted() {
+	for _, h := range need {
 		if len(out) == limit {
 			m.urgent = true
 			return out
 		}
-		_, listed := m.Seen[key{h.Name(), h.Try}]
-		switch {
-		case h.Stopping && (listed || !h.Sent.IsZero()):
+		if h.Stopping {
 			out = append(out, Order{"halt", h.Name(), h.Try, &h.WindDown})
-		case !listed && !h.Stopping && h.Recorded && h.Session == m.Session && ledger.TryTerm(h.Try) == token:
-			// A start recorded under an earlier token is never sent again: the
-			// worker's next reports prove it gone.
-			out = append(out, Order{Verb: "run", Task: h.Name(), Try: h.Try})
-			h.Sent = now
+			continue
 		}
+		out = append(out, Order{Verb: "run", Task: h.Name(), Try: h.Try})
+		h.Sent = now
 	}
 	for k, s := range m.Seen {
 		if len(out) == limit {
@@ -356,6 +379,7 @@
 		return
 	}
 	h.Stopping, h.WindDown = true, windDown
+	m.Version++
 	m.urgent = true
 }
 
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -88,24 +88,26 @@
 	}
 	counts := make([]int, len(pools))
 	for _, d := range demand {
+		// Room only shrinks, so what has none for one task has none for the next.
+		next, nextRented := 0, 0
 		for n := 0; n < d.Tasks; n++ {
-			at := -1
-			for _, i := range order {
-				m := &machines[i]
-				if free[i].Fits(d.Need) && d.allows(m.Type, m.Zone, m.Spot) {
-					at = i
+			for ; next < len(order); next++ {
+				m := &machines[order[next]]
+				if free[order[next]].Fits(d.Need) && d.allows(m.Type, m.Zone, m.Spot) {
 					break
 				}
 			}
-			if at >= 0 {
-				free[at] = free[at].Add(d.Need, -1)
-				used[at] = true
+			if next < len(order) {
+				i := order[next]
+				free[i] = free[i].Add(d.Need, -1)
+				used[i] = true
 				continue
 			}
-			for k := range rented {
-				p := &pools[rented[k].pool]
-				if rented[k].free.Fits(d.Need) && d.allows(p.Type, p.Zone, p.Spot) {
-					at = k
+			at := -1
+			for ; nextRented < len(rented); nextRented++ {
+				p := &pools[rented[nextRented].pool]
+				if rented[nextRented].free.Fits(d.Need) && d.allows(p.Type, p.Zone, p.Spot) {
+					at = nextRented
 					break
 				}
 			}
