--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -265,6 +265,7 @@
 	}
 	demand, why := l.demand(now)
 	d := rental.Plan(demand, machines, pools, l.n.operator.IdleReturn)
+	l.logFleet(now, d)
 	for _, i := range d.Return {
 		m := ms[i]
 		m.Retire = "idle"
@@ -288,6 +289,35 @@
 	return names, asks
 }
 
+// logFleet notes what the machines are used for.
+func (l *lead) logFleet(now time.Time, d rental.Decision) {
+	if !slog.Default().Enabled(l.ctx, slog.LevelDebug) {
+		return
+	}
+	var all, spot, up, empty, waiting int
+	var cpus, free float64
+	l.fleet.Each(func(m *fleet.Machine) {
+		if m.Type < 0 {
+			return
+		}
+		all++
+		if m.Spot {
+			spot++
+		}
+		if m.Known {
+			v, holds := l.view(m, now)
+			up++
+			cpus += l.types[m.Type].CPUs
+			free += v.Free[placement.CPU]
+			if len(holds) == 0 {
+				empty++
+			}
+		}
+	})
+	l.book.Jobs(func(j *ledger.Job) { waiting += j.WaitingTasks() })
+	slog.Debug("fleet", "machines", all, "spot", spot, "up", up, "empty", empty, "cpus", cpus, "free", free, "waiting", waiting, "rent", d.Rent, "return", len(d.Return))
+}
+
 // reprice takes current prices. Types that are new to this leader wait for the
 // next: jobs and machines hold dense indices of those it began with.
 func (l *lead) reprice(types []cloud.Type) {
