Guard against deaf machines, late copies, left-behind leaders and jobs not begun

- A machine whose reports arrive while answers and commands do not is told by its token, by starts that do not appear and by a session that ended although its reports had been answered; it gets nothing more and is returned (TestDeafMachine).
- A new leader brings its token directly to machines that it does not hear, and a leader that is shown a higher token stands down (TestLeaderLeftWithWorkers).
- Processes back at once while claims of earlier ones are still to be applied: TestBackMidElection; nothing had to be changed.

Answers to direct requests no longer count as reports heard: they do not renew the worker's lease.

--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -39,6 +39,7 @@
 		}
 	})
 	l.retire(now)
+	l.reachOut(now)
 }
 
 // saveLeeway is how long before a notice runs out tasks are told to save, beside
@@ -92,11 +93,18 @@
 		}
 	}
 	v.Free, v.Tasks, v.Load = st.free, st.tasks, st.index.Value()
-	v.Open = m.Known && !m.Foreign() && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
-		now.Sub(m.Heard) < l.n.operator.Silent
+	v.Open = l.present(m) && !m.Foreign() && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
+		m.DeafSince.IsZero() && now.Sub(m.Heard) < l.n.operator.Silent
 	return v, st.holds
 }
 
+// present tells whether a machine is known to be there, by its token, which it can
+// only have from an answer of this leader, or by the cloud's list. A report alone
+// may be a late copy: to a new leader, of a machine that was returned before.
+func (l *lead) present(m *fleet.Machine) bool {
+	return m.Known && (m.Token >= l.firstTerm || m.Listed)
+}
+
 // teams returns limits and use; every attempt counts that is not proven gone.
 func (l *lead) teams() []placement.Team {
 	out := make([]placement.Team, len(l.n.settings.Teams))
@@ -134,6 +142,10 @@
 	l.passTook = time.Since(now)
 }
 
+// beginBy is when a job of which no task has begun may begin with one before all
+// others: half of the four minutes that the users allow.
+const beginBy = 2 * time.Minute
+
 func (l *lead) pass(now time.Time) {
 	var waiting []*ledger.Job
 	l.book.Jobs(func(j *ledger.Job) {
@@ -162,7 +174,7 @@
 		jobs[i] = placement.Job{Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
 			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
-			Urgent: s.Shape == job.Service, Warm: l.warm(j, warm), Avoid: l.avoid(st)}
+			Urgent: s.Shape == job.Service, Overdue: now.Sub(j.At) > beginBy && j.LiveTasks() == 0 && j.DoneTasks() == 0, Warm: l.warm(j, warm), Avoid: l.avoid(st)}
 		var known bool
 		if jobs[i].InZone, known = l.inZones(j); !known && (s.OneZone || s.Apart) {
 			jobs[i].Waiting = 0
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -70,6 +70,8 @@
 			why = "taken back"
 		case m.Known && len(m.Holds) == 0 && (m.Type < 0 || m.Zone < 0):
 			why = "of no known type or zone"
+		case !m.DeafSince.IsZero() && now.Sub(m.DeafSince) >= op.Abandon-op.Silent:
+			why = "gets no commands"
 		case l.overdueCancel(m, now):
 			why = "holds a cancelled task that cannot be stopped"
 		}
@@ -190,7 +192,9 @@
 		if l.fleet.Add(name, now) == nil {
 			continue
 		}
-		if m := l.machine(name, now); m.Type < 0 {
+		m := l.machine(name, now)
+		m.Listed = true
+		if m.Type < 0 {
 			m.Type, m.Zone, m.Spot = p.typ, p.zone, p.spot
 		}
 	}
@@ -216,6 +220,7 @@
 			m.Spot, m.Addr = c.Spot, c.Addr
 		}
 		m.Failed = c.Status == cloud.Failed
+		m.Listed = m.Listed || c.Status == cloud.Running
 		m.Booting = c.Status == cloud.Starting && !m.Known
 	}
 	l.fleet.Each(func(m *fleet.Machine) {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -25,7 +25,10 @@
 	}
 	term := l.reign.Term()
 	if r.Token > term {
-		// Whatever we answer would be dropped and keep the worker here.
+		// Whatever we answer would be dropped and keep the worker here. Only an
+		// election can have raised the token, so this leader is deposed, though
+		// neither the state service nor its peers may be able to tell it.
+		l.n.candidate.Learn("", r.Token)
 		return wire.Response{Status: 421}
 	}
 	now := time.Now()
@@ -34,6 +37,7 @@
 		return wire.Response{Status: 503, RetryAfter: 1}
 	}
 	m.Via = ""
+	m.Answered(term, now)
 	answer := fleet.Answer{Token: term}
 	if r.Session == m.Session && r.Tick == m.Tick && l.reign.Valid() {
 		answer.Orders = m.Orders(term, maxOrders, l.settled, now)
@@ -50,7 +54,7 @@
 	m.Type, m.Zone = l.lookup(r.Type, r.Zone)
 	was := m.Version
 	idle := !m.Known || now.Sub(m.Heard) >= l.n.operator.Silent
-	outcomes, fresh := m.Handle(r, now)
+	outcomes, fresh := m.Handle(r, l.n.settings.Workers.Lease, now)
 	if !fresh {
 		return m
 	}
@@ -160,22 +164,12 @@
 			return
 		}
 		m.Pushing = true
-		c := l.pushers[m.Name]
-		if c == nil || c.Addr != m.Addr {
-			c = &wire.Client{Dial: l.n.dial, Addr: m.Addr, MaxIdle: 1}
-			l.pushers[m.Name] = c
-		}
+		c := l.pusher(m)
 		body := wire.Marshal(fleet.Commands{Token: l.reign.Term(), Session: m.Session, Orders: orders})
 		l.spawn(func() {
 			ctx, cancel := context.WithTimeout(l.ctx, 1500*time.Millisecond)
 			defer cancel()
-			resp, err := c.Do(ctx, "POST", "/commands", body)
-			var r fleet.Report
-			if err == nil && (resp.Status == 200 || resp.Status == 409) {
-				err = wire.Unmarshal(resp.Body, &r)
-			} else if err == nil {
-				err = fmt.Errorf("status %d", resp.Status)
-			}
+			r, err := ask(ctx, c, "POST", "/commands", body)
 			l.post(func() { l.pushed(m, &r, err) })
 		})
 	})
@@ -191,5 +185,79 @@
 	if m.Gone || r.Machine != m.Name {
 		return
 	}
+	l.heed(m, r)
+}
+
+// heed learns from what a machine answers to a direct request. It is no sign that
+// its reports still arrive, and without them its lease runs out.
+func (l *lead) heed(m *fleet.Machine, r *fleet.Report) {
+	heard := m.Heard
 	l.take(r, time.Now())
+	if m.Known && !heard.IsZero() {
+		m.Heard = heard
+	}
+}
+
+// Bounds of reaching out.
+const (
+	reachEvery = 5 * time.Second // to one machine
+	reachMost  = 8               // machines at once
+)
+
+// reachOut brings this leader's token to machines that it does not hear. They may
+// still report to an earlier leader which is cut off from the state service and
+// from its peers but not from them; once they show it the higher token it turns
+// them away.
+func (l *lead) reachOut(now time.Time) {
+	if !l.reign.Valid() {
+		return
+	}
+	quiet := l.n.settings.Workers.Report * 3 / 2
+	l.fleet.Each(func(m *fleet.Machine) {
+		since := l.started
+		if m.Known {
+			since = m.Heard
+		}
+		if now.Sub(since) < quiet || m.Addr == "" || m.Retire != "" || m.Booting || m.Pushing || m.Via != "" ||
+			now.Sub(m.Reached) < reachEvery || l.reaching >= reachMost {
+			return
+		}
+		m.Reached, m.Pushing = now, true
+		l.reaching++
+		c, term := l.pusher(m), l.reign.Term()
+		l.spawn(func() {
+			ctx, cancel := context.WithTimeout(l.ctx, 1500*time.Millisecond)
+			defer cancel()
+			r, err := ask(ctx, c, "GET", "/status", nil)
+			if err == nil && r.Token < term {
+				r, err = ask(ctx, c, "POST", "/commands", wire.Marshal(fleet.Commands{Token: term, Session: r.Session, Orders: []fleet.Order{}}))
+			}
+			l.post(func() {
+				l.reaching--
+				l.pushed(m, &r, err)
+			})
+		})
+	})
+}
+
+// ask makes a direct request to a worker and returns its report.
+func ask(ctx context.Context, c *wire.Client, method, path string, body []byte) (r fleet.Report, err error) {
+	resp, err := c.Do(ctx, method, path, body)
+	if err != nil {
+		return r, err
+	}
+	if resp.Status != 200 && resp.Status != 409 {
+		return r, fmt.Errorf("status %d", resp.Status)
+	}
+	return r, wire.Unmarshal(resp.Body, &r)
+}
+
+// pusher returns the client for direct requests to a machine.
+func (l *lead) pusher(m *fleet.Machine) *wire.Client {
+	c := l.pushers[m.Name]
+	if c == nil || c.Addr != m.Addr {
+		c = &wire.Client{Dial: l.n.dial, Addr: m.Addr, MaxIdle: 1}
+		l.pushers[m.Name] = c
+	}
+	return c
 }
--- /dev/null
+++ b/internal/controller/troubles_test.go
@@ -0,0 +1,165 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/standin"
+)
+
+// The users' rule: a job begins within four minutes, though work of higher
+// priority never ceases to wait.
+func TestJobBegins(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		low := submission("wk-900000", job.Array, 40, 10)
+		low["rank"] = "best_effort"
+		begin := time.Now()
+		c.submit(0, submission("wk-000000", job.Array, 60, 10))
+		c.submit(0, low)
+		for i := 1; time.Since(begin) < 4*time.Minute; i++ {
+			c.submit(i%3, submission(fmt.Sprintf("wk-%06d", i), job.Array, 24, 10))
+			time.Sleep(10 * time.Second)
+		}
+		began := 0
+		for task := range c.referee.Begun() {
+			if task[:9] == "wk-900000" {
+				began++
+			}
+		}
+		if began == 0 {
+			t.Error("not begun within four minutes")
+		}
+	})
+}
+
+// A machine whose reports arrive while answers and commands do not looks healthy.
+// It is noticed, gets nothing more, and its tasks run elsewhere once it is returned.
+func TestDeafMachine(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.submit(0, submission("wk-000001", job.Service, 8, 0))
+		c.until("service runs", time.Minute, func() bool { return c.referee.On() == 8 })
+		// With one controller left, the worker comes back to it soon after each report
+		// that it thinks unanswered, and is never silent for long.
+		leader := c.leader()
+		c.kill((leader + 1) % 3)
+		c.kill((leader + 2) % 3)
+		var deaf *standin.Worker
+		for _, w := range c.cloud.Machines() {
+			if w.Tasks() > 0 {
+				deaf = w
+			}
+		}
+		deaf.Deafen(true)
+		c.submit(leader, submission("wk-000002", job.Service, 8, 0))
+		c.until("deaf machine returned", 45*time.Second, func() bool { return slices.Contains(c.cloud.Returned(), deaf.Name) })
+		c.until("all replicas run", 30*time.Second, func() bool { return c.referee.On() == 16 })
+	})
+}
+
+// A late copy of a report is no sign of life: neither to the leader that has
+// returned the machine nor to a new one, which has never known it.
+func TestLateCopies(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.submit(0, submission("wk-000001", job.Array, 8, 5))
+		c.until("array done", time.Minute, c.done("wk-000001"))
+		var copies [][]byte
+		for _, w := range c.cloud.Machines() {
+			copies = append(copies, w.Copy())
+		}
+		c.until("machines returned", 2*time.Minute, func() bool { return len(c.cloud.Machines()) == 0 })
+		deliver := func() {
+			for _, body := range copies {
+				c.ask(c.leader(), "POST", "/v1/report", body)
+			}
+		}
+		deliver()
+		if n := c.nodes[c.leader()].lead.Load().fleet.Size(); n > len(copies) {
+			t.Errorf("%d machines known, %d were rented", n, len(copies))
+		}
+		old := c.leader()
+		c.kill(old)
+		c.until("another leader", 10*time.Second, func() bool { return c.leader() >= 0 && c.leader() != old })
+		c.start(old)
+		time.Sleep(time.Second)
+		deliver()
+		begin := time.Now()
+		c.submit(c.leader(), submission("wk-000002", job.Service, 2, 0))
+		for time.Since(begin) < 16*time.Second && c.referee.On() < 2 {
+			time.Sleep(2 * time.Second)
+			deliver() // ever again
+		}
+		// Booting takes 10 s; a start on a machine that is not there costs more.
+		if c.referee.On() < 2 {
+			t.Errorf("service not running %v after its submission", time.Since(begin))
+		}
+	})
+}
+
+// A leader that loses the state service and the other controllers, but not its
+// workers, goes on answering them. The new leader brings them its token, and the
+// old one turns them away.
+func TestLeaderLeftWithWorkers(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.submit(0, submission("wk-000001", job.Service, 8, 0))
+		c.until("service runs", time.Minute, func() bool { return c.referee.On() == 8 })
+		old := c.leader()
+		c.net.Cut(func(from, to string) bool {
+			worker := len(from) > 5 && from[:5] == "10.1." || len(to) > 5 && to[:5] == "10.1."
+			return !worker && (from == nodeAddr(old) || to == nodeAddr(old) || to == peerAddr(old))
+		})
+		c.until("another leader", 10*time.Second, func() bool {
+			return slices.ContainsFunc(c.nodes, func(n *Node) bool { return n != c.nodes[old] && n.lead.Load() != nil })
+		})
+		c.until("old leader stands down", 20*time.Second, func() bool { return c.nodes[old].lead.Load() == nil })
+		c.until("workers follow", 20*time.Second, func() bool {
+			l := c.nodes[c.leader()].lead.Load()
+			for _, w := range c.cloud.Machines() {
+				if w.Token() < l.reign.Term() {
+					return false
+				}
+			}
+			return true
+		})
+		c.submit(c.leader(), submission("wk-000002", job.Service, 4, 0))
+		c.until("more replicas run", 20*time.Second, func() bool { return c.referee.On() == 12 })
+		c.net.Cut(nil)
+		c.startedOnce()
+	})
+}
+
+// A process that is back at once, in the middle of elections, while claims of the
+// earlier ones are still to be applied: no term is used twice.
+func TestBackMidElection(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.submit(0, submission("wk-000001", job.Array, 16, 60))
+		c.until("tasks run", time.Minute, func() bool { return c.referee.On() >= 4 })
+		last := c.nodes[c.leader()].lead.Load().reign.Term()
+		for range 4 {
+			node := c.leader()
+			c.store.HoldBack(1)
+			c.kill(node)
+			c.start(node)
+			time.Sleep(200 * time.Millisecond) // its claim is on its way
+			c.kill(node)
+			c.start(node)
+			c.store.Release()
+			c.until("a leader", 20*time.Second, func() bool { return c.leader() >= 0 })
+			term := c.nodes[c.leader()].lead.Load().reign.Term()
+			if term <= last {
+				t.Errorf("term %d after %d", term, last)
+			}
+			last = term
+			time.Sleep(3 * time.Second)
+		}
+		c.until("array done", 4*time.Minute, c.done("wk-000001"))
+		c.startedOnce()
+	})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -87,7 +87,7 @@
 	*ledger.Attempt
 	Since    time.Time // decided, or found by a new leader
 	Running  time.Time // first reported running; zero: not yet
-	Sent     time.Time // last sent; zero: never by this leader
+	Sent     time.Time // first sent; zero: never by this leader
 	Stopping bool      // a halt is wanted
 	WindDown float64
 	Missing  int // newer reports in a row that do not list it
@@ -114,17 +114,21 @@
 	Blamed  map[string]struct{} // jobs whose tasks failed since then
 	Sick    bool
 	Pushing bool
-	Via     string // node through which it is heard, if not directly
-	Failed  bool   // the cloud lists it as failed
-	Booting bool   // the cloud lists it as starting and it has not reported
-	Retire  string // why it is being returned, empty: it is not
+	Reached time.Time // when the leader last reached out to it, unheard
+	Via     string    // node through which it is heard, if not directly
+	Failed  bool      // the cloud lists it as failed
+	Booting bool      // the cloud lists it as starting and it has not reported
+	Retire  string    // why it is being returned, empty: it is not
 	Gone    bool
 
 	Images    Images
 	IdleSince time.Time
 	Version   uint64 // raised by every change of what is on the machine
-	urgent    bool   // commands wait to be pushed
+	Listed    bool   // the cloud has named it to this leader, as rented or running
+	DeafSince time.Time
+	urgent    bool // commands wait to be pushed
 	foreign   bool
+	answers   answers
 }
 
 // Outcome is the proof that a hold has ended.
@@ -274,10 +278,11 @@
 // from a report of a worker that has seen a higher token than the attempt's:
 // such a worker executes no late copy of the start. Absence under the same
 // token proves nothing, since the start may still be on its way.
-func (m *Machine) Handle(r *Report, now time.Time) (out []Outcome, fresh bool) {
+func (m *Machine) Handle(r *Report, lease time.Duration, now time.Time) (out []Outcome, fresh bool) {
 	if r.Session < m.Session || r.Session == m.Session && r.Tick <= m.Tick {
 		return nil, false
 	}
+	known, session, token := m.Known, m.Session, m.Token
 	m.Session, m.Tick, m.Token = r.Session, r.Tick, r.Token
 	m.Addr, m.Spot, m.Known, m.Heard = r.Addr, r.Spot, true, now
 	m.Recall = time.Time{}
@@ -318,10 +323,58 @@
 		m.foreign = foreign
 		m.Version++
 	}
+	m.listen(r, known, session, token, lease, now)
 	slices.SortFunc(out, func(a, b Outcome) int { return compare(a.Hold, b.Hold) })
 	return out, true
 }
 
+// answers is what shows whether a machine gets what it is told.
+type answers struct {
+	last     time.Time // last answer to a report
+	term     uint64    // the token that it carried
+	unheeded int       // reports in a row since that show a lower token
+}
+
+// A machine is taken for deaf when so many reports in a row show no sign of what
+// the answers to the ones before said, and starts were sent for so long.
+const (
+	deafReports = 3
+	deafAfter   = 8 * time.Second
+)
+
+// Answered notes that a report is answered under the given token.
+func (m *Machine) Answered(term uint64, now time.Time) {
+	m.answers.last, m.answers.term = now, term
+}
+
+// listen judges from a new report whether answers and commands reach the machine.
+// It guards against one whose reports arrive while nothing gets back to it: it
+// looks healthy, takes up no start, and loses what it has with each lease. Signs
+// are a token that does not rise, starts that do not appear, and a session that
+// ended although its reports had been answered.
+func (m *Machine) listen(r *Report, known bool, session, token uint64, lease time.Duration, now time.Time) {
+	if r.Token > token {
+		m.DeafSince, m.answers.unheeded = time.Time{}, 0
+		return
+	}
+	deaf := false
+	if r.Token < m.answers.term {
+		m.answers.unheeded++
+		deaf = m.answers.unheeded >= deafReports
+	}
+	if known && r.Session > session && now.Sub(m.answers.last) < lease/2 {
+		deaf = true
+	}
+	for k, h := range m.Holds {
+		if _, listed := m.Seen[k]; !listed && m.Via == "" && h.Missing >= deafReports && !h.Sent.IsZero() && now.Sub(h.Sent) >= deafAfter {
+			deaf = true
+		}
+	}
+	if deaf && m.DeafSince.IsZero() {
+		m.DeafSince = now
+	}
+}
+
 // Orders returns the commands that the machine needs under the given token, at
 // most limit, and marks starts as sent. Starts already listed are left out. An
 // exited task is only forgotten once settled says that its result is durable.
@@ -351,7 +404,9 @@
 			continue
 		}
 		out = append(out, Order{Verb: "run", Task: h.Name(), Try: h.Try})
-		h.Sent = now
+		if h.Sent.IsZero() {
+			h.Sent = now
+		}
 	}
 	for k, s := range m.Seen {
 		if len(out) == limit {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -57,7 +57,7 @@
 				status, cause, _ := strings.Cut(state, "/")
 				r.Tasks = append(r.Tasks, TaskReport{Task: name(task), Try: tries[task], Status: status, Cause: cause})
 			}
-			outcomes, fresh := m.Handle(r, now)
+			outcomes, fresh := m.Handle(r, 26*time.Second, now)
 			if !fresh {
 				fmt.Fprintln(out, "> stale, ignored")
 			}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -73,7 +73,7 @@
 			j := Job{Team: int(number("team", 0)), Priority: int(number("prio", 1)), Arrival: uint64(number("at", 0)),
 				Need: Amounts{CPU: number("cpu", 1), Memory: number("ram", 1)}, Waiting: int(number("tasks", 1)), Tasks: int(number("tasks", 1)),
 				Zone: int(number("zone", -1)), Spot: flag("spot"), OneZone: flag("onezone"), Apart: flag("apart"), Gang: flag("gang"),
-				Urgent: flag("urgent"), Beyond: flag("beyond"), Ratio: number("ratio", 0), InZone: make([]int, zones)}
+				Urgent: flag("urgent"), Overdue: flag("overdue"), Beyond: flag("beyond"), Ratio: number("ratio", 0), InZone: make([]int, zones)}
 			if w := int(number("warm", -1)); w >= 0 {
 				j.Warm = make([]bool, len(machines))
 				j.Warm[w] = true
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -46,6 +46,7 @@
 	Tasks    int    // of the job in all
 	InZone   []int  // of its tasks not done or now on machines, by zone
 	Urgent   bool   // may preempt
+	Overdue  bool   // has waited too long with none of its tasks begun
 	Avoid    []bool // machines on which it has failed; nil: none
 	Warm     []bool // machines that have its image, where that comes before the index; nil: nowhere
 }
@@ -142,21 +143,23 @@
 // changes machines, jobs and teams as it goes.
 func Place(now time.Time, machines []Machine, jobs []Job, teams []Team) Plan {
 	p := newPlanner(now, machines, teams, len(jobs))
-	for _, i := range order(jobs) {
+	sorted := order(jobs)
+	p.overdue(jobs, sorted)
+	for _, i := range sorted {
 		j := &jobs[i]
 		if j.Gang {
 			p.gang(i, j)
 			continue
 		}
-		n := p.fill(i, j)
-		if n == j.Waiting {
+		left := j.Waiting - p.fill(i, j, j.Waiting)
+		if left == 0 {
 			continue
 		}
 		if p.teams[j.Team].room(j.Need) {
-			p.out.Starved[i] = j.Waiting - n
+			p.out.Starved[i] = left
 		}
 		if j.Urgent {
-			p.preempt(i, j, j.Waiting-n)
+			p.preempt(i, j, left)
 		}
 	}
 	return p.out
@@ -196,14 +199,35 @@
 	return order
 }
 
-// fill places as many tasks of a job as the team and the machines have room for
-// and returns how many. The index does not change within a pass, so the machine
+// overdue lets each job that has waited too long with none of its tasks begun
+// begin with one, before all others and in order of arrival.
+//
+// Exception to the design (priority, then arrival): by priority and response ratio
+// alone a class of low priority, or the largest arrays, may never have their turn
+// while bursts of others go on (menu-sync waited up to 283 s on rough of
+// kapana-orders-grown), and users count a job that has not begun within four
+// minutes as failed.
+func (p *planner) overdue(jobs []Job, sorted []int) {
+	var late []int
+	for _, i := range sorted {
+		if jobs[i].Overdue && !jobs[i].Gang {
+			late = append(late, i)
+		}
+	}
+	sort.Slice(late, func(x, y int) bool { return jobs[late[x]].Arrival < jobs[late[y]].Arrival })
+	for _, i := range late {
+		jobs[i].Waiting -= p.fill(i, &jobs[i], 1)
+	}
+}
+
+// fill places up to most tasks of a job, as far as the team and the machines have
+// room, and returns how many. The index does not change within a pass, so the machine
 // that is best for one task is best for the next until it is full: the machines
 // are looked through once for a job, not once for a task.
-func (p *planner) fill(i int, j *Job) (n int) {
+func (p *planner) fill(i int, j *Job, most int) (n int) {
 	k, plain := j.kind()
 	if !plain {
-		for n < j.Waiting && p.teams[j.Team].room(j.Need) {
+		for n < most && p.teams[j.Team].room(j.Need) {
 			m := p.best(j, -1)
 			if m < 0 {
 				break
@@ -233,14 +257,14 @@
 	})
 	for _, m := range fit {
 		for p.machines[m].Free.Fits(j.Need) {
-			if n == j.Waiting || !p.teams[j.Team].room(j.Need) {
+			if n == most || !p.teams[j.Team].room(j.Need) {
 				return n
 			}
 			p.assign(i, j, m)
 			n++
 		}
 	}
-	p.full[k] = n < j.Waiting // room only shrinks within a pass
+	p.full[k] = n < most // room only shrinks within a pass
 	return n
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -44,6 +45,13 @@
 	return len(r.on)
 }
 
+// Begun returns how often each task has started so far.
+func (r *Referee) Begun() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.Starts)
+}
+
 func (r *Referee) start(task, machine string) (*job.Spec, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -86,6 +94,7 @@
 	tasks   map[fleetKey]*task
 	more    chan struct{}
 	hung    bool
+	deaf    bool // reports leave, but nothing reaches it
 	sick    bool
 	notice  time.Time // when the cloud takes the machine; zero: no notice
 }
@@ -121,6 +130,20 @@
 	w.hung = hung
 }
 
+// Deafen lets reports leave the worker while nothing reaches it.
+func (w *Worker) Deafen(deaf bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaf = deaf
+}
+
+// Copy returns a copy of what the worker would report now, to be delivered late.
+func (w *Worker) Copy() []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.snapshot()
+}
+
 // Sicken makes every task that starts on the worker fail.
 func (w *Worker) Sicken() {
 	w.mu.Lock()
@@ -273,6 +296,13 @@
 	if err != nil {
 		return -1, nil
 	}
+	w.mu.Lock()
+	deaf := w.deaf
+	w.mu.Unlock()
+	if deaf {
+		<-ctx.Done() // the answer is never seen
+		return -1, nil
+	}
 	return resp.Status, resp.Body
 }
 
@@ -292,9 +322,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var c fleet.Commands
-	if w.hung {
+	if w.hung || w.deaf {
 		return wire.Response{Status: drop}
 	}
+	if req.Path == "/status" {
+		return wire.Response{Status: 200, Body: w.snapshot()}
+	}
 	if req.Path != "/commands" || wire.Unmarshal(req.Body, &c) != nil {
 		return wire.Response{Status: 400}
 	}
