End the gathering at nine machines in ten, and keep sockets for workers

Tasks are placed once nine in ten have reported; renting and giving up still wait for all or the time.

Commands' connections are closed after 2 s without use. From 0.8 of the allowed connections on users' are closed after each answer, and where there is no more room the one idle longest goes; workers' stay (TestMakeRoom).

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -41,6 +41,8 @@
 	lead      atomic.Pointer[lead]
 }
 
+const reportPath = "/v1/report"
+
 // nodeShare is the part of the region's request rates that one node may use.
 // The parts overlap, since the leader needs most and any node may lead; where
 // two need much at once the service's own 429 decides.
@@ -112,10 +114,11 @@
 	}
 	server := &wire.Server{
 		Addr:        n.settings.Listen,
-		MaxConns:    n.settings.Resources.MaxSockets * 3 / 4,
+		MaxConns:    n.settings.Resources.MaxSockets * 17 / 20,
 		IdleTimeout: 60 * time.Second,
 		ReadTimeout: 10 * time.Second,
 		Handler:     n.serve,
+		Lasting:     func(req *wire.Request) bool { return req.Path == reportPath },
 	}
 	between := &wire.Server{
 		Addr:        n.settings.PeerListen,
@@ -238,7 +241,7 @@
 			return wire.Response{Status: 503, RetryAfter: 1}
 		}
 		return wire.Response{Status: 200}
-	case req.Path == "/v1/report":
+	case req.Path == reportPath:
 		if req.Method != "POST" {
 			return wire.Response{Status: 405}
 		}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -40,6 +40,10 @@
 	})
 	l.retire(now)
 	l.reachOut(now)
+	// A connection kept for each machine would take a third of all sockets.
+	for _, c := range l.pushers {
+		c.Trim(2 * time.Second)
+	}
 }
 
 // saveLeeway is how long before a notice runs out tasks are told to save, beside
@@ -287,27 +291,45 @@
 	return list
 }
 
-// ready tells whether the gathering of reports is over: after the design's time,
-// or sooner.
+// ready tells whether the gathering of reports is over, so that tasks may be
+// placed: after the design's time, or sooner.
 //
 // Exception to the design (10 s of gathering for every new leader): it ends as
-// soon as every machine that the records or the cloud's list name has reported,
-// since nothing is left to gather. Forced by the crashes of the troubles and
-// rough days, on which each election cost services 10 s of their start aim.
+// soon as nearly every machine that the records or the cloud's list name has
+// reported. Forced by the crashes of the troubles and rough days, on which each
+// election cost services 10 s of their start aim; and nearly, since of hundreds of
+// machines some are always dying, hanging or cut off, and get no tasks anyway.
 func (l *lead) ready(now time.Time) bool {
-	if !l.gathered && (now.Sub(l.started) >= l.n.operator.Gather || l.listed && l.allReported()) {
+	if !l.gathered && (now.Sub(l.started) >= l.n.operator.Gather || l.listed && l.reported() >= nearlyAll) {
 		l.gathered = true
 		slog.Info("gathering over", "term", l.reign.Term(), "after", now.Sub(l.started).Round(time.Millisecond))
 	}
 	return l.gathered
 }
 
-func (l *lead) allReported() bool {
-	all := true
+// nearlyAll is the part of the machines whose reports are enough to place tasks.
+const nearlyAll = 0.9
+
+// surveyed tells whether machines that have not reported may be taken for lost, and
+// others rented in their place.
+func (l *lead) surveyed(now time.Time) bool {
+	return l.ready(now) && (now.Sub(l.started) >= l.n.operator.Gather || l.reported() == 1)
+}
+
+// reported returns the part of the machines that should report and have.
+func (l *lead) reported() float64 {
+	all, heard := 0, 0
 	l.fleet.Each(func(m *fleet.Machine) {
-		if !m.Known && !m.Booting && !m.Failed {
-			all = false
+		switch {
+		case m.Known:
+			heard++
+			all++
+		case !m.Booting && !m.Failed:
+			all++
 		}
 	})
-	return all
+	if all == 0 {
+		return 1
+	}
+	return float64(heard) / float64(all)
 }
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -33,7 +33,7 @@
 
 // retire decides which machines are given up for what time has shown.
 func (l *lead) retire(now time.Time) {
-	if !l.reign.Valid() || !l.ready(now) {
+	if !l.reign.Valid() || !l.surveyed(now) {
 		return
 	}
 	op := &l.n.operator
@@ -237,7 +237,7 @@
 
 // decide returns the machines to return and the rentals to ask for.
 func (l *lead) decide(now time.Time) (names []string, asks []cloud.Rental) {
-	if !l.loaded || !l.reign.Valid() || !l.ready(now) {
+	if !l.loaded || !l.reign.Valid() || !l.surveyed(now) {
 		return nil, nil
 	}
 	l.reprice(*l.n.types.Load())
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -140,6 +140,21 @@
 	c.idle = append(c.idle, conn)
 }
 
+// Trim closes the kept connections that have not been used for so long.
+func (c *Client) Trim(age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.idle[:0]
+	for _, conn := range c.idle {
+		if time.Since(conn.old) < age {
+			kept = append(kept, conn)
+		} else {
+			conn.Close()
+		}
+	}
+	c.idle = kept
+}
+
 // CloseIdle closes the kept connections. After a failure the others to the
 // same address are as suspect as the one that failed.
 func (c *Client) CloseIdle() {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -24,21 +24,33 @@
 	IdleTimeout time.Duration // between requests
 	ReadTimeout time.Duration // from a request's first byte to its last
 	Handler     Handler
+	Lasting     func(*Request) bool // connections to keep when others must go; nil: none
 
 	open atomic.Int64
 	wg   sync.WaitGroup
+
+	mu    sync.Mutex
+	links map[*link]struct{}
 }
 
+// crowdedShare is the part of MaxConns from which on connections that need not
+// last are closed after each answer.
+const crowdedShare = 0.8
+
 // link is what the loop and a connection's goroutine share.
 type link struct {
 	conn evio.Conn
 	more chan struct{} // capacity 1: bytes arrived
 	gone chan struct{} // closed by the loop once the connection is closed
+	shed chan struct{} // capacity 1: another connection needs the room
 
 	mu    sync.Mutex
 	in    []byte
 	out   []byte
 	close bool
+
+	lasting bool
+	idle    time.Time // since when it waits for a request; zero: it is answering one
 }
 
 // maxPending bounds what one connection may have sent and not yet been read:
@@ -73,10 +85,10 @@
 	ev.NumLoops = 1
 	ev.Opened = func(c evio.Conn) (out []byte, opts evio.Options, action evio.Action) {
 		opts.ReuseInputBuffer = true
-		if s.open.Add(1) > int64(s.MaxConns) {
+		if s.open.Add(1) > int64(s.MaxConns) && !s.makeRoom() {
 			return nil, opts, evio.Close
 		}
-		l := &link{conn: c, more: make(chan struct{}, 1), gone: make(chan struct{})}
+		l := s.newLink(c)
 		c.SetContext(l)
 		s.wg.Add(1)
 		go func() {
@@ -88,6 +100,9 @@
 	ev.Closed = func(c evio.Conn, err error) evio.Action {
 		s.open.Add(-1)
 		if l, ok := c.Context().(*link); ok {
+			s.mu.Lock()
+			delete(s.links, l)
+			s.mu.Unlock()
 			close(l.gone)
 		}
 		return evio.None
@@ -108,6 +123,42 @@
 	return evio.Serve(ev, "tcp://"+s.Addr)
 }
 
+func (s *Server) newLink(c evio.Conn) *link {
+	l := &link{conn: c, more: make(chan struct{}, 1), gone: make(chan struct{}), shed: make(chan struct{}, 1), idle: time.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.links == nil {
+		s.links = map[*link]struct{}{}
+	}
+	s.links[l] = struct{}{}
+	return l
+}
+
+// makeRoom closes the connection that has been idle longest, if one may be closed.
+// It guards against users that hold connections open until no worker finds room.
+func (s *Server) makeRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *link
+	var since time.Time
+	for l := range s.links {
+		l.mu.Lock()
+		if !l.lasting && !l.idle.IsZero() && (oldest == nil || l.idle.Before(since)) {
+			oldest, since = l, l.idle
+		}
+		l.mu.Unlock()
+	}
+	if oldest == nil {
+		return false
+	}
+	select {
+	case oldest.shed <- struct{}{}:
+	default:
+	}
+	delete(s.links, oldest)
+	return true
+}
+
 // exchange runs on the loop: it takes what arrived and hands out what the
 // goroutine has written.
 func (l *link) exchange(in []byte) ([]byte, evio.Action) {
@@ -177,6 +228,8 @@
 		case <-l.more:
 		case <-l.gone:
 			return req, nil, errGone
+		case <-l.shed:
+			return req, nil, errShed
 		case <-timer.C:
 			return req, nil, errSlow
 		case <-ctx.Done():
@@ -188,6 +241,7 @@
 var (
 	errGone = errors.New("wire: connection closed")
 	errSlow = errors.New("wire: peer too slow")
+	errShed = errors.New("wire: connection closed to make room")
 )
 
 // converse is the goroutine of one connection.
@@ -207,8 +261,16 @@
 			l.send(nil, true)
 			return
 		}
+		lasting := s.Lasting != nil && s.Lasting(&req)
+		l.mu.Lock()
+		l.lasting, l.idle = lasting, time.Time{}
+		l.mu.Unlock()
 		resp := s.Handler(ctx, &req)
-		resp.Close = resp.Close || req.Close
+		crowded := float64(s.open.Load()) > crowdedShare*float64(s.MaxConns)
+		resp.Close = resp.Close || req.Close || crowded && !lasting
+		l.mu.Lock()
+		l.idle = time.Now()
+		l.mu.Unlock()
 		l.send(AppendResponse(nil, resp), resp.Close)
 		if resp.Close {
 			return
--- a/internal/wire/server_test.go
+++ b/internal/wire/server_test.go
@@ -64,7 +64,7 @@
 			return Response{Status: 200, Body: []byte(r.Path + string(r.Body))}
 		}}
 		c := &loopConn{}
-		c.link = &link{conn: c, more: make(chan struct{}, 1), gone: make(chan struct{})}
+		c.link = s.newLink(c)
 		ctx, cancel := context.WithCancel(context.Background())
 		go s.converse(ctx, c.link)
 		f(c)
@@ -73,6 +73,38 @@
 	})
 }
 
+// Where connections run out, users' idle ones go first, the longest idle before
+// others; workers' stay.
+func TestMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{MaxConns: 100, IdleTimeout: time.Minute, ReadTimeout: 10 * time.Second,
+			Handler: func(context.Context, *Request) Response { return Response{Status: 200} },
+			Lasting: func(r *Request) bool { return r.Path == "/report" }}
+		ctx, cancel := context.WithCancel(context.Background())
+		conns := make([]*loopConn, 3)
+		for i, path := range []string{"/report", "/job", "/job"} {
+			c := &loopConn{}
+			c.link = s.newLink(c)
+			go s.converse(ctx, c.link)
+			c.data("GET " + path + " HTTP/1.1\r\n\r\n")
+			time.Sleep(time.Second)
+			conns[i] = c
+		}
+		for i, want := range []struct{ room, first, second bool }{{true, true, false}, {true, true, true}, {false, true, true}} {
+			room := s.makeRoom()
+			synctest.Wait()
+			_, worker := conns[0].sent()
+			_, first := conns[1].sent()
+			_, second := conns[2].sent()
+			if room != want.room || worker || first != want.first || second != want.second {
+				t.Errorf("after %d: room %v, closed %v %v %v", i+1, room, worker, first, second)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestConnectionAnswersInTurn(t *testing.T) {
 	converse(t, func(c *loopConn) {
 		c.data("GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Len")
