--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,12 +10,14 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -124,11 +126,7 @@
 	for wait(ctx, writeEvery) {
 		var ops []statestore.Op
 		var whole []fleet.Report
-		for len(ops) < maxMails {
-			m, ok := l.mail(time.Now())
-			if !ok {
-				break
-			}
+		for _, m := range l.mails(time.Now()) {
 			whole = append(whole, m.Reports...)
 			ops = append(ops, statestore.Op{Put: UpPrefix + l.Node + "/" + strconv.Itoa(len(ops)), Value: wire.Marshal(m)})
 		}
@@ -162,38 +160,71 @@
 // a value by its JSON form, which is longer than what is written here.
 const Share = 0.6
 
-// repeatWhole is how often an unchanged report is passed on whole all the same, for
-// a leader that has missed it. Otherwise a few bytes stand for it: with whole ones
-// alone, a zone of 130 machines did not fit, 68 of them counted as silent and were
-// given up with 225 tasks (apart of kapana-orders-grown).
+// repeatWhole is how often an unchanged report is passed on whole all the same, as
+// room allows, for a leader that has missed it. Otherwise a few bytes stand for it:
+// with whole ones alone, a zone of 130 machines did not fit, 68 of them counted as
+// silent and were given up with 225 tasks (apart of kapana-orders-grown).
 const repeatWhole = 10 * time.Second
 
-// mail returns what has come and was not yet taken, as much as fits one value.
-func (l *Lodger) mail(now time.Time) (Mail, bool) {
+// mails returns what has come and was not yet taken, as values for the up keys:
+// first that machines are heard, then what is new, then what may have been missed.
+func (l *Lodger) mails(now time.Time) []Mail {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	m := Mail{Node: l.Node}
-	size, room := 200, int(float64(l.ValueBytes)*Share)
+	var out []Mail
+	left := 0
+	add := func(size int) *Mail {
+		if size > left {
+			if len(out) == maxMails {
+				return nil
+			}
+			out = append(out, Mail{Node: l.Node})
+			left = int(float64(l.ValueBytes)*Share) - 200
+		}
+		left -= size
+		return &out[len(out)-1]
+	}
+	var news, again []string
 	for name, r := range l.reports {
 		p, ok := l.passed[name]
-		if ok && now.Sub(p.at) < repeatWhole && same(&p.report, &r) {
-			s := Same{Machine: name, Session: r.Session, Before: p.report.Tick, Tick: r.Tick}
-			if size += len(name) + 24; size > room {
-				break
-			}
-			m.Same = append(m.Same, s)
-			delete(l.reports, name)
+		if !ok || !same(&p.report, &r) {
+			news = append(news, name)
 			continue
 		}
+		if m := add(len(name) + 24); m != nil {
+			m.Same = append(m.Same, Same{Machine: name, Session: r.Session, Before: p.report.Tick, Tick: r.Tick})
+			delete(l.reports, name)
+		}
+		if now.Sub(p.at) >= repeatWhole {
+			again = append(again, name)
+		}
+	}
+	longest := func(a, b string) int {
+		return cmp.Or(l.passed[a].at.Compare(l.passed[b].at), strings.Compare(a, b))
+	}
+	slices.SortFunc(news, longest)
+	slices.SortFunc(again, longest)
+	whole := func(r fleet.Report) bool {
 		n := len(wire.Marshal(r))
-		if size+n > room {
-			continue // its turn comes with the next mail
+		m := add(n)
+		if m == nil {
+			return false
 		}
-		size += n
 		m.Reports = append(m.Reports, r)
+		return true
+	}
+	for _, name := range news {
+		if !whole(l.reports[name]) {
+			return out // its turn comes with the next mails
+		}
 		delete(l.reports, name)
 	}
-	return m, len(m.Reports)+len(m.Same) > 0
+	for _, name := range again {
+		if !whole(l.passed[name].report) {
+			break
+		}
+	}
+	return out
 }
 
 func same(a, b *fleet.Report) bool {
