Give machines of a cut zone time to come back after it

A cut between the zones came with an election; as soon as two thirds of the far zone were back it no longer counted as cut, and the 42 machines still on their way were given up at once, 77 with 264 tasks in all. Workers that must try every node need up to 15 s to find one that answers. Now the usual time runs anew once the cut is over, and a machine that a new leader has not heard yet has a lease's time.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -56,6 +56,7 @@
 	reaching   int // machines that are being reached out to
 	without    int // tasks that found no machine in the last pass
 	blocked    map[pool]time.Time
+	cutUntil   []time.Time // by zone: when it was last seen cut off
 	offered    rental.Offered
 	learned    rental.Learned
 	recalled   time.Time // up to when an earlier leader's estimates reach
@@ -219,6 +220,7 @@
 		}
 	}
 	l.recall(ctx)
+	l.cutUntil = make([]time.Time, len(l.zones))
 	var rev uint64
 	after := ""
 	for {
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -63,20 +63,34 @@
 		}
 	})
 	cut := func(silent, known int) bool { return silent > 2 && silent*maxDeadShare > known }
+	for z := range l.zones {
+		if cut(silent, known) || cut(zoneSilent[z], zoneKnown[z]) {
+			l.cutUntil[z] = now
+		}
+	}
 	// Where a zone is cut off its machines are not dead. Their tasks live as long as
 	// their leases do, and then nothing is gained by returning them either, unless
 	// services wait to start elsewhere: others in their place would be cut off too
 	// (rough of omaruru-fares-grown: 129 machines given up with 516 tasks in a cut of
-	// 55 s, in which no zone had room for others).
+	// 55 s, in which no zone had room for others). Once the cut is over they have the
+	// usual time anew to come back, and after an election a lease's time, as they may
+	// have to try every node (inc-2c92: 77 given up as soon as two thirds were back).
 	lease := l.n.settings.Workers.Lease
-	patience := func(m *fleet.Machine) time.Duration {
-		switch {
-		case !cut(silent, known) && (m.Zone < 0 || !cut(zoneSilent[m.Zone], zoneKnown[m.Zone])):
-			return op.Abandon
-		case m.Serves():
-			return max(op.Abandon, lease)
+	lost := func(m *fleet.Machine) bool {
+		since := quiet(m)
+		if m.Zone >= 0 && !l.cutUntil[m.Zone].IsZero() {
+			if l.cutUntil[m.Zone].Equal(now) {
+				if m.Serves() {
+					return since >= max(op.Abandon, lease)
+				}
+				return since >= max(op.Abandon, cutPatience*lease)
+			}
+			since = min(since, now.Sub(l.cutUntil[m.Zone]))
+		}
+		if !m.Known {
+			return since >= max(op.Abandon, lease)
 		}
-		return max(op.Abandon, cutPatience*lease)
+		return since >= op.Abandon
 	}
 	l.fleet.Each(func(m *fleet.Machine) {
 		why := ""
@@ -88,7 +102,7 @@
 			why = "faulty"
 		case !m.Known && len(m.Holds) == 0 && now.Sub(m.Created) > l.bootLimit(m):
 			why = "never came up"
-		case (m.Known || len(m.Holds) > 0) && quiet(m) >= patience(m):
+		case (m.Known || len(m.Holds) > 0) && lost(m):
 			why = "silent"
 		case !m.Recall.IsZero() && now.After(m.Recall) && quiet(m) >= op.Silent:
 			why = "taken back"
