--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -96,7 +96,6 @@
 				Priority: h.Job.Spec.Rank(), Team: job.team, Since: h.Since, Stopping: h.Stopping})
 		}
 	}
-	v.Serve = m.Serves()
 	v.Free, v.Tasks, v.Load = st.free, st.tasks, st.index.Value()
 	v.Open = l.present(m) && !m.Foreign() && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
 		m.DeafSince.IsZero() && now.Sub(m.Heard) < l.n.operator.Silent
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -15,7 +15,6 @@
 	Spot  bool
 	Free  Amounts
 	Load  float64 // the index
-	Serve bool    // holds tasks of services
 	Tasks []Task  // booked tasks, for preemption
 }
 
@@ -276,9 +275,6 @@
 	if j.Warm != nil {
 		j.Warm[m] = true
 	}
-	if j.Urgent {
-		p.machines[m].Serve = true
-	}
 	p.out.Assign = append(p.out.Assign, Assignment{i, m})
 }
 
@@ -343,12 +339,6 @@
 	if j.Warm != nil && j.Warm[a] != j.Warm[b] {
 		return j.Warm[a]
 	}
-	// Exception to the design: services keep to machines that hold services, and
-	// arrays to the others. By the index alone a few services end up on every machine,
-	// and none can be returned when the arrays are done (tail of every day).
-	if x, y := p.machines[a].Serve, p.machines[b].Serve; x != y {
-		return x == j.Urgent
-	}
 	return p.machines[a].Load < p.machines[b].Load
 }
 
