Make room for services where their image is, and fetch where nothing is fetched

The image before the index (exception 2) holds for preemption now, and among machines without it those that fetch nothing come first.

--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -96,6 +96,9 @@
 				Priority: h.Job.Spec.Rank(), Team: job.team, Since: h.Since, Stopping: h.Stopping})
 		}
 	}
+	for _, h := range st.holds {
+		v.Fetch = v.Fetch || h.Running.IsZero()
+	}
 	v.Free, v.Tasks, v.Load = st.free, st.tasks, st.index.Value()
 	v.Open = l.present(m) && !m.Foreign() && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
 		m.DeafSince.IsZero() && now.Sub(m.Heard) < l.n.operator.Silent
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -52,7 +52,7 @@
 		}
 		switch word[0] {
 		case "machine":
-			m := Machine{Open: true, Zone: int(number("zone", 0)), Spot: flag("spot"), Load: number("load", 0),
+			m := Machine{Open: true, Zone: int(number("zone", 0)), Spot: flag("spot"), Fetch: flag("fetch"), Load: number("load", 0),
 				Free: Amounts{CPU: number("cpu", 4), Memory: number("ram", 16)}}
 			for _, w := range word {
 				if s, ok := strings.CutPrefix(w, "task="); ok {
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -59,7 +59,7 @@
 	}
 	crowded := r.IntN(2) == 0
 	for range 100 + r.IntN(300) {
-		m := Machine{Open: r.IntN(20) > 0, Type: r.IntN(2), Zone: r.IntN(3), Spot: r.IntN(4) == 0,
+		m := Machine{Open: r.IntN(20) > 0, Type: r.IntN(2), Zone: r.IntN(3), Spot: r.IntN(4) == 0, Fetch: r.IntN(3) == 0,
 			Free: Amounts{CPU: 4, Memory: 16}, Load: float64(r.IntN(12))}
 		for m.Free[CPU] > 0 && (crowded || r.IntN(3) > 0) {
 			task := Task{ID: len(m.Tasks), Need: Amounts{CPU: 1, Memory: 3}, Priority: r.IntN(3), Team: r.IntN(3),
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -15,6 +15,7 @@
 	Spot  bool
 	Free  Amounts
 	Load  float64 // the index
+	Fetch bool    // fetches an image
 	Tasks []Task  // booked tasks, for preemption
 }
 
@@ -272,8 +273,8 @@
 	p.machines[m].Free = p.machines[m].Free.Add(j.Need, -1)
 	p.teams[j.Team].use(j.Need, 1)
 	j.InZone[p.machines[m].Zone]++
-	if j.Warm != nil {
-		j.Warm[m] = true
+	if j.Warm != nil && !j.Warm[m] {
+		j.Warm[m], p.machines[m].Fetch = true, true
 	}
 	p.out.Assign = append(p.out.Assign, Assignment{i, m})
 }
@@ -332,16 +333,28 @@
 // before tells whether machine a is better for j than b: the lowest index.
 //
 // Exception to the design: where j.Warm is given, a machine that has the job's
-// image comes before one that has not. It is given for images that take longer
+// image comes before one that has not, and of those that have not one that fetches
+// none, as fetches share the machine's rate. It is given for images that take longer
 // to fetch than the index remembers; on omaruru-fares a fetch of 20 s kept
 // machines paid and idle and services from their start aim.
 func (p *planner) before(j *Job, a, b int) bool {
-	if j.Warm != nil && j.Warm[a] != j.Warm[b] {
-		return j.Warm[a]
+	if x, y := p.rank(j, a), p.rank(j, b); x != y {
+		return x < y
 	}
 	return p.machines[a].Load < p.machines[b].Load
 }
 
+// rank tells how soon a machine would have the job's image: 0 the soonest.
+func (p *planner) rank(j *Job, m int) int {
+	switch {
+	case j.Warm == nil || j.Warm[m]:
+		return 0
+	case !p.machines[m].Fetch:
+		return 1
+	}
+	return 2
+}
+
 func (j *Job) avoids(machine int) bool { return j.Avoid != nil && j.Avoid[machine] }
 
 // Allows tells whether a task of j may start on m, given j's other tasks.
@@ -374,7 +387,9 @@
 }
 
 // preempt makes room for up to n tasks of j, each by stopping tasks of lower
-// priority on the one machine where that loses the least run time. Where the
+// priority on the one machine where that loses the least run time, among those that
+// have the image or will have it soonest: the fetch would cost a service its start
+// aim, and more than the tasks lose. Where the
 // team is at its limit the tasks stopped are its own.
 func (p *planner) preempt(i int, j *Job, n int) {
 	team := &p.teams[j.Team]
@@ -391,7 +406,10 @@
 			if !v.known {
 				*v = m.victims(j, over, p.now)
 			}
-			if v.ok && (best < 0 || v.cost < costs[best].cost) {
+			if !v.ok {
+				continue
+			}
+			if best < 0 || p.rank(j, k) < p.rank(j, best) || p.rank(j, k) == p.rank(j, best) && v.cost < costs[best].cost {
 				best = k
 			}
 		}
