--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -179,7 +179,7 @@
 		st := l.jobs[j]
 		s := j.Spec
 		jobs[i] = placement.Job{Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
-			Waiting: j.WaitingTasks(), Live: j.LiveTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
+			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
 			Urgent: s.Shape == job.Service, Overdue: now.Sub(j.At) > beginBy && j.LiveTasks() == 0 && j.DoneTasks() == 0, Warm: l.warm(j, warm), Avoid: l.avoid(st)}
 		var known bool
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -8,6 +8,29 @@
 	"time"
 )
 
+// plain is Place as the design states it, one task after the other with a look at
+// every machine for each, without anything remembered from task to task.
+func plain(now time.Time, machines []Machine, jobs []Job, teams []Team) Plan {
+	p := newPlanner(now, machines, teams, len(jobs))
+	for _, i := range order(jobs) {
+		j := &jobs[i]
+		n := 0
+		for ; n < j.Waiting && p.teams[j.Team].room(j.Need); n++ {
+			m := p.best(j, -1)
+			if m < 0 {
+				p.out.Starved[i] = j.Waiting - n
+				break
+			}
+			p.assign(i, j, m)
+		}
+		for ; j.Urgent && n < j.Waiting; n++ {
+			clear(p.victims)
+			p.preempt(i, j, 1)
+		}
+	}
+	return p.out
+}
+
 // The plan is the same whether the machines are looked through once for a job or
 // once for a task, at the size of a few hundred machines.
 func TestPlaceLikePlain(t *testing.T) {
@@ -18,9 +41,7 @@
 		machines, jobs, teams := build()
 		got := Place(now, machines, jobs, teams)
 		machines, jobs, teams = build()
-		p := newPlanner(now, machines, teams, len(jobs))
-		p.plain = true // one task after the other, with a look at every machine for each
-		want := p.place(jobs)
+		want := plain(now, machines, jobs, teams)
 		if !reflect.DeepEqual(got, want) {
 			t.Fatalf("seed %d:\n got %v\nwant %v", seed, got, want)
 		}
@@ -54,7 +75,7 @@
 			Need: Amounts{CPU: 2, Memory: 4}, Priority: 3, Urgent: true, InZone: make([]int, 4), Types: []bool{true, r.IntN(3) > 0}}
 		if r.IntN(3) == 0 {
 			j.Need, j.Priority, j.Urgent = Amounts{CPU: 1, Memory: 3}, r.IntN(3), false
-			j.Waiting, j.Live, j.Ratio, j.Beyond = r.IntN(60), r.IntN(2), float64(r.IntN(50)), r.IntN(2) == 0
+			j.Waiting, j.Ratio, j.Beyond = r.IntN(60), float64(r.IntN(50)), r.IntN(2) == 0
 			j.Apart = r.IntN(4) == 0
 		}
 		j.Tasks = j.Waiting
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -38,7 +38,6 @@
 	Beyond   bool    // its team has more unfinished work than it is guaranteed
 	Need     Amounts
 	Waiting  int
-	Live     int    // of its tasks, now on machines
 	Types    []bool // allowed by dense type; nil: any
 	Zone     int    // -1: any
 	Spot     bool
@@ -110,11 +109,9 @@
 	teams    []Team
 	out      Plan
 
-	full     map[kind]bool     // kinds of task that no machine has room for in this pass
-	victims  map[kind][]victim // what making room for a task would cost, by machine
-	onlyWarm bool              // only machines that have the job's image
-	plain    bool              // remember nothing from task to task, for tests
-	own      []bool            // machines whose tasks are this pass's own copy
+	full    map[kind]bool     // kinds of task that no machine has room for in this pass
+	victims map[kind][]victim // what making room for a task would cost, by machine
+	own     []bool            // machines whose tasks are this pass's own copy
 }
 
 // kind is what decides which machines fit a task whose job has no tasks tied to
@@ -146,17 +143,11 @@
 // fitting machine with the lowest index, within their teams' limits. It
 // changes machines, jobs and teams as it goes.
 func Place(now time.Time, machines []Machine, jobs []Job, teams []Team) Plan {
-	return newPlanner(now, machines, teams, len(jobs)).place(jobs)
-}
-
-func (p *planner) place(jobs []Job) Plan {
+	p := newPlanner(now, machines, teams, len(jobs))
 	sorted := order(jobs)
 	p.overdue(jobs, sorted)
-	for at, i := range sorted {
+	for _, i := range sorted {
 		j := &jobs[i]
-		if at == 0 || !jobs[sorted[at-1]].peer(j) {
-			p.warmFirst(jobs, sorted[at:])
-		}
 		if j.Gang {
 			p.gang(i, j)
 			continue
@@ -230,50 +221,13 @@
 	}
 }
 
-// peer tells whether two jobs are of the same standing: only their ratio and arrival
-// tell which comes first.
-func (j *Job) peer(k *Job) bool {
-	return j.Priority == k.Priority && j.Beyond == k.Beyond && j.Urgent == k.Urgent
-}
-
-// warmFirst lets arrays of the same standing take the room on machines that have
-// their images before any takes it on others; one that has nothing on machines yet
-// begins with a part of its tasks.
-//
-// Exception to the design (order of jobs), for images that take longer to fetch than
-// the index remembers: with all machines full each slot that came free went to the
-// first job in order, whose image it rarely had. On steady of omaruru-fares-grown two
-// tasks in three waited for a fetch, which took a tenth of all that was paid for.
-func (p *planner) warmFirst(jobs []Job, sorted []int) {
-	defer func() { p.onlyWarm = false }()
-	for _, i := range sorted {
-		j := &jobs[i]
-		if !j.peer(&jobs[sorted[0]]) {
-			return
-		}
-		if j.Urgent || j.Gang || j.Warm == nil {
-			continue
-		}
-		p.onlyWarm = j.Live > 0
-		most := j.Waiting
-		if j.Live == 0 {
-			most = (j.Waiting + startShare - 1) / startShare
-		}
-		j.Waiting -= p.fill(i, j, most)
-	}
-}
-
-// startShare is the part of an array's tasks, one in so many, that may begin on
-// machines without its image before others take those.
-const startShare = 4
-
 // fill places up to most tasks of a job, as far as the team and the machines have
 // room, and returns how many. The index does not change within a pass, so the machine
 // that is best for one task is best for the next until it is full: the machines
 // are looked through once for a job, not once for a task.
 func (p *planner) fill(i int, j *Job, most int) (n int) {
-	k, alike := j.kind()
-	if !alike || p.plain {
+	k, plain := j.kind()
+	if !plain {
 		for n < most && p.teams[j.Team].room(j.Need) {
 			m := p.best(j, -1)
 			if m < 0 {
@@ -311,7 +265,7 @@
 			n++
 		}
 	}
-	p.full[k] = n < most && !p.onlyWarm // room only shrinks within a pass
+	p.full[k] = n < most // room only shrinks within a pass
 	return n
 }
 
@@ -373,9 +327,6 @@
 // fits tells whether a task of j may be placed on a machine.
 func (p *planner) fits(j *Job, i, only int) bool {
 	m := &p.machines[i]
-	if p.onlyWarm && j.Warm != nil && !j.Warm[i] {
-		return false
-	}
 	return m.Open && !j.avoids(i) && m.Free.Fits(j.Need) && j.Allows(m) && (only < 0 || m.Zone == only)
 }
 
@@ -497,7 +448,7 @@
 // it is known from tasks of the same kind earlier in this pass.
 func (p *planner) costs(j *Job, over Amounts) []victim {
 	k, ok := j.kind()
-	if !ok || p.plain || over != (Amounts{}) {
+	if !ok || over != (Amounts{}) {
 		return make([]victim, len(p.machines)) // depends on the team and its use
 	}
 	k.priority = j.Priority
