--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -101,7 +101,7 @@
 	}
 	v.Free, v.Tasks, v.Load = st.free, st.tasks, st.index.Value()
 	v.Open = l.present(m) && !m.Foreign() && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
-		!m.Closed && m.DeafSince.IsZero() && now.Sub(m.Heard) < l.n.operator.Silent
+		m.DeafSince.IsZero() && now.Sub(m.Heard) < l.n.operator.Silent
 	return v, st.holds
 }
 
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -288,7 +288,7 @@
 		v, _ := l.view(m, now)
 		ms = append(ms, m)
 		machines = append(machines, rental.Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: v.Free,
-			Usable: v.Open || m.Closed && l.present(m) && m.DeafSince.IsZero() && now.Sub(m.Heard) < l.n.operator.Silent && m.Recall.IsZero() || !m.Known && !m.Failed && !l.overdueBoot(m, now),
+			Usable: v.Open || !m.Known && !m.Failed && !l.overdueBoot(m, now),
 			Empty:  m.Known && len(m.Holds) == 0 && l.nothingUnsettled(m), Idle: min(now.Sub(m.IdleSince), now.Sub(m.Created)-minPaid+l.n.operator.IdleReturn)})
 	})
 	var pools []rental.Pool
@@ -311,13 +311,6 @@
 	demand, why := l.demand(now)
 	d := rental.Plan(demand, machines, pools, l.n.operator.IdleReturn)
 	l.logFleet(now, d)
-	for _, m := range ms {
-		l.replan = l.replan || m.Closed
-		m.Closed = false
-	}
-	for _, i := range d.Close {
-		ms[i].Closed = true
-	}
 	for _, i := range d.Return {
 		m := ms[i]
 		m.Retire = "idle"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -115,7 +115,6 @@
 	Blamed  map[string]struct{} // jobs whose tasks failed since then
 	Sick    bool
 	Pushing bool
-	Closed  bool      // takes no new tasks, so that it empties
 	Reached time.Time // when the leader last reached out to it, unheard
 	Via     string    // node through which it is heard, if not directly
 	Failed  bool      // the cloud lists it as failed
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -52,7 +52,6 @@
 type Decision struct {
 	Rent   []Rent
 	Return []int // positions of machines
-	Close  []int // of machines that need take nothing more, so that they empty
 }
 
 // Plan fits the demand into what is there, rents the cheapest that fits for the
@@ -73,8 +72,8 @@
 	// what can be returned. Spot machines before others among equals, being cheaper.
 	sort.SliceStable(order, func(x, y int) bool {
 		a, b := machines[order[x]], machines[order[y]]
-		if x, y := a.Free[placement.CPU], b.Free[placement.CPU]; x != y {
-			return x < y
+		if a.Empty != b.Empty {
+			return !a.Empty
 		}
 		return a.Spot && !b.Spot
 	})
@@ -131,12 +130,8 @@
 		}
 	}
 	for i, m := range machines {
-		switch {
-		case used[i] || !m.Usable:
-		case m.Empty && m.Idle >= idleReturn:
+		if m.Empty && !used[i] && m.Idle >= idleReturn {
 			out.Return = append(out.Return, i)
-		case !m.Empty:
-			out.Close = append(out.Close, i)
 		}
 	}
 	return out
