Keep the workers of a node that can reach neither leader nor state service

A zone with a controller in it was cut off from everything; the controller had not heard of a leader for 8 s, turned its workers away, and 197 tasks ended with their leases. The same befell all that runs where all controllers come back in an outage that outlasts the leases (so far the dearest failure named in docs/design.md).

An isolated node answers a worker under the token that the worker has, without commands, and turns it away with its next report, so that one that can reach the leader does; a worker that cannot is back within its lease. No rule depends on a lease's end: tasks start elsewhere on proof alone, cancelled ones go back with their machine. A node names itself as leader to others only while it leads.

TestAllBackInOutage, which fails without the guard: 0 of 8 replicas left.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -241,3 +242,8 @@
 	}
 	return o.number(name, least, most)
 }
+
+// Controls tells whether a controller stands in a zone.
+func (s *Settings) Controls(zone string) bool {
+	return s.Zone == zone || slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.Zone == zone })
+}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -39,6 +39,7 @@
 	lodger    *relay.Lodger
 	changed   chan string // jobs to tell the leader of
 	lead      atomic.Pointer[lead]
+	harbour   harbour
 }
 
 const reportPath = "/v1/report"
@@ -282,6 +283,47 @@
 	return wire.Response{Status: 200, Body: wire.Marshal(n.lodger.Answer(r, term))}, true
 }
 
+// isolated tells whether this node can learn from nobody who leads: not from the
+// state service, nor from the leader last known.
+func (n *Node) isolated() bool {
+	leader, _ := n.candidate.Leader()
+	return !n.store.Served(isolatedAfter) && !n.peers.Leads(leader, lodgeUnheard)
+}
+
+const isolatedAfter = 3 * time.Second
+
+// harbour remembers workers that an isolated node has answered. It answers one under
+// the token that the worker has itself, without commands, so that its lease and its
+// tasks last until a leader can be reached again; and turns it away with its next
+// report, so that one that can reach the leader does so. One that cannot is back in
+// time.
+//
+// It guards against the loss of all that runs where controllers come back in an
+// outage of the state service that outlasts the leases, or where a zone with a
+// controller is cut off from everything (197 tasks in inc-008f, 213 on a drawn day of
+// omaruru-fares-grown). No rule depends on a lease's end.
+type harbour struct {
+	mu   sync.Mutex
+	held map[string]time.Time
+}
+
+// maxHeld bounds what a harbour remembers.
+const maxHeld = 4096
+
+// takes tells whether to answer a worker: it was not answered for so long.
+func (h *harbour) takes(r *fleet.Report, pause time.Duration, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at, ok := h.held[r.Machine]; r.Token == 0 || ok && now.Sub(at) < pause {
+		return false
+	}
+	if h.held == nil || len(h.held) >= maxHeld {
+		h.held = map[string]time.Time{}
+	}
+	h.held[r.Machine] = now
+	return true
+}
+
 func (n *Node) report(ctx context.Context, body []byte) wire.Response {
 	var r fleet.Report
 	if err := wire.Unmarshal(body, &r); err != nil || r.Machine == "" || r.Session == 0 {
@@ -292,6 +334,9 @@
 		if resp, ok := n.lodge(&r); ok {
 			return resp
 		}
+		if n.isolated() && n.harbour.takes(&r, n.settings.Workers.Report*3/2, time.Now()) {
+			return wire.Response{Status: 200, Body: wire.Marshal(fleet.Answer{Token: r.Token})}
+		}
 		return n.redirect()
 	}
 	resp := wire.Response{Status: 503, RetryAfter: 1}
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -68,9 +68,10 @@
 			l.cutUntil[z] = now
 		}
 	}
-	// Where a zone is cut off its machines are not dead. Their tasks live as long as
-	// their leases do, and then nothing is gained by returning them either, unless
-	// services wait to start elsewhere: others in their place would be cut off too
+	// Where a zone is cut off its machines are not dead. A controller there may keep
+	// their leases; without one their tasks end with those, and then nothing is gained
+	// by returning them either, unless services wait to start elsewhere: others in
+	// their place would be cut off too
 	// (rough of omaruru-fares-grown: 129 machines given up with 516 tasks in a cut of
 	// 55 s, in which no zone had room for others). Once the cut is over they have the
 	// usual time anew to come back, and after an election a lease's time, as they may
@@ -80,7 +81,7 @@
 		since := quiet(m)
 		if m.Zone >= 0 && !l.cutUntil[m.Zone].IsZero() {
 			if l.cutUntil[m.Zone].Equal(now) {
-				if m.Serves() {
+				if m.Serves() && !l.n.settings.Controls(l.zones[m.Zone]) {
 					return since >= max(op.Abandon, lease)
 				}
 				return since >= max(op.Abandon, cutPatience*lease)
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/job"
 	"tulipshelf/internal/standin"
+	"tulipshelf/internal/wire"
 )
 
 // The users' rule: a job begins within four minutes, though work of higher
@@ -163,3 +165,38 @@
 		c.startedOnce()
 	})
 }
+
+// Controllers that all come back in an outage which outlasts the workers' leases know
+// no term. A worker that finds nobody else keeps its tasks; it is turned away now and
+// then to look for a leader.
+func TestAllBackInOutage(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.submit(0, submission("wk-000001", job.Service, 8, 0))
+		c.until("service runs", time.Minute, func() bool { return c.referee.On() == 8 })
+		c.store.Down(true)
+		for i := range 3 {
+			c.kill(i)
+			c.start(i)
+		}
+		time.Sleep(8 * time.Second) // one of them was told of the leader before that was ended
+		for i, want := range []int{200, 421} {
+			body := wire.Marshal(fleet.Report{Machine: "vm-000099", Session: 1, Tick: uint64(i + 1), Token: 1})
+			if s := c.ask(0, "POST", "/v1/report", body).Status; s != want {
+				t.Errorf("report %d of a worker: %d, want %d", i+1, s, want)
+			}
+		}
+		time.Sleep(70 * time.Second)
+		if n := c.referee.On(); n != 8 {
+			t.Errorf("%d of 8 replicas left", n)
+		}
+		c.store.Down(false)
+		c.submit(0, submission("wk-000002", job.Array, 2, 5))
+		c.until("a submission is taken", 20*time.Second, func() bool {
+			s := c.submit(0, submission("wk-000002", job.Array, 2, 5))
+			return s == 201 || s == 200
+		})
+		c.until("array done", time.Minute, c.done("wk-000002"))
+		c.startedOnce()
+	})
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -82,10 +82,14 @@
 	depose context.CancelFunc // ends it
 }
 
-// Leader returns the name of the node last known to lead and its term.
+// Leader returns the name of the node last known to lead and its term. A node names
+// itself only while it leads: others may tell it of an earlier process of its own.
 func (c *Candidate) Leader() (string, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.leader == c.Node && c.ruling == nil {
+		return "", c.term
+	}
 	return c.leader, c.term
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -43,6 +43,7 @@
 	began   time.Time
 	clients map[string]*wire.Client
 	heard   map[string]time.Time
+	leading map[string]time.Time // when a node last said that it leads itself
 }
 
 const (
@@ -84,6 +85,13 @@
 	return time.Since(t) < d
 }
 
+// Leads tells whether a node has said within d that it leads.
+func (n *Net) Leads(node string, d time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.leading[node]) < d
+}
+
 func (n *Net) own() []byte {
 	leader, term := n.Known()
 	return marshal(&Beat{Node: n.Node, Term: term, Leader: leader})
@@ -138,9 +146,12 @@
 	}
 	n.mu.Lock()
 	if n.heard == nil {
-		n.heard = map[string]time.Time{}
+		n.heard, n.leading = map[string]time.Time{}, map[string]time.Time{}
 	}
 	n.heard[b.Node] = time.Now()
+	if b.Leader == b.Node {
+		n.leading[b.Node] = time.Now()
+	}
 	n.mu.Unlock()
 	n.Learned(b.Leader, b.Term)
 	return true
