Prefer the image for services whose start aim a fetch would take up

It does now also where it takes more than a quarter of the class's start aim, which the settings name.

--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"tulipshelf/internal/config"
 	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/job"
 	"tulipshelf/internal/ledger"
@@ -211,6 +212,10 @@
 	}
 }
 
+// startShare is the part of a class's start aim, one in so many, that a fetch may take
+// before machines that have the image are preferred.
+const startShare = 4
+
 // inZones returns how many live attempts of a job are in each zone, and whether
 // the zones of all are known. After an election those of machines that neither
 // the cloud's list nor a report has named are not; a job whose tasks are tied to
@@ -277,10 +282,17 @@
 }
 
 // warm returns the machines that have a job's image, if a fetch of it takes
-// longer than the index remembers. Jobs with the same image share the list, so
-// that one pass sends them to the same machines.
+// longer than the index remembers, or a good part of the time in which its class
+// should start: on kapana-orders-grown 2 s of 4. Jobs with the same image share the
+// list, so that one pass sends them to the same machines.
 func (l *lead) warm(j *ledger.Job, lists map[string][]bool) []bool {
-	if l.fetchSeconds(j) <= l.n.operator.Smoothing.Seconds() {
+	limit := l.n.operator.Smoothing
+	for _, o := range l.n.settings.Objectives {
+		if o.Kind == config.KindWait && o.Class == j.Spec.Class && o.Within > 0 {
+			limit = min(limit, o.Within/startShare)
+		}
+	}
+	if l.fetchSeconds(j) <= limit.Seconds() {
 		return nil
 	}
 	list := lists[j.Spec.Image]
