Drop whatever stands under an ended job's name, not only the job that ended

A read of a job that began before its end and was answered after the watch had told of that end put the job back into the book; when the end's own write was answered, the book lost it but the list of what is to be written did not.

A start cannot come of such a job: it is recorded on condition that the job's record stands. TestStaleReadOfAnEndedJob fails without the change. Conflicts of batches are logged at debug now, which is how it was found.

--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -61,6 +61,7 @@
 		})
 		return
 	}
+	slog.Debug("batch met a conflict", "keys", conflict.Keys)
 	for _, key := range conflict.Keys {
 		if key == fence.Key && l.reign.Fence() == fence {
 			depose(errDeposed)
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -191,7 +191,9 @@
 		for n := range w.j.chunks {
 			w.j.orphans = append(w.j.orphans, n)
 		}
-		delete(b.jobs, w.j.Spec.ID)
+		if j := b.drop(w.j.Spec.ID); j != nil && j != w.j {
+			ended = append(ended, j)
+		}
 		delete(b.dirty, w.j)
 		b.ended[w.j.Spec.ID] = struct{}{}
 		ended = append(ended, w.j)
@@ -227,6 +229,16 @@
 	} else {
 		b.ended[id] = struct{}{}
 	}
+	return b.drop(id)
+}
+
+// drop takes the job that stands under an ID out of the book and returns it. It need
+// not be the one that has ended: a read that began before the end and is answered
+// after the watch has told of it brings the job back. Left among what is to be
+// written, such a job was written again and again, each time in vain, and used up the
+// rate that the ends of others waited for (inc-1671: 175 cancelled jobs not ended, 105
+// empty machines not returned).
+func (b *Book) drop(id string) *Job {
 	j := b.jobs[id]
 	if j != nil {
 		delete(b.jobs, id)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -235,3 +235,22 @@
 		t.Error("second not durable in the end")
 	}
 }
+
+// A read of a job that is answered after the watch has told of its end, and before
+// the end's own write is answered, leaves nothing to be written.
+func TestStaleReadOfAnEndedJob(t *testing.T) {
+	b := NewBook()
+	put(t, b, "wk-000001", 1, true, 10)
+	end := b.NextBatch(fence, 8, 8, t0)
+	if end == nil || end.Ops[0].Put != "end/wk-000001" {
+		t.Fatalf("end is not recorded: %+v", end)
+	}
+	b.Gone("wk-000001", true)
+	put(t, b, "wk-000001", 1, true, 10)
+	if _, ended := b.Committed(end, 11); len(ended) != 2 || b.Len() != 0 {
+		t.Errorf("%d jobs told as ended, %d left", len(ended), b.Len())
+	}
+	if bt := b.NextBatch(fence, 8, 8, t0.Add(time.Minute)); bt != nil {
+		t.Errorf("written again: %+v", bt.Ops)
+	}
+}
