--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -479,7 +479,7 @@
 	for _, d := range out {
 		taken += float64(d.Tasks) * d.Need[placement.CPU]
 	}
-	need, usual := l.arrayTasks(taken, now)
+	need, usual := l.arrayTasks(taken, used, now)
 	turns := need
 	why = fmt.Sprintf("%d tasks without room, %d more of arrays to run at once, room for %d of services to come",
 		l.without, max(0, turns), reserved)
@@ -504,9 +504,13 @@
 // arrayTasks returns how many tasks of arrays should run at once, beside those
 // that do, if taken CPUs of what is free will go to others: of those that wait,
 // and of those that usually come.
-func (l *lead) arrayTasks(taken float64, now time.Time) (need, usual int) {
+func (l *lead) arrayTasks(taken float64, teams []placement.Team, now time.Time) (need, usual int) {
 	live, boot := 0, 0.0
 	var works []rental.Work
+	room := make([]float64, len(teams))
+	for i := range teams {
+		room[i] = teams[i].CPUsMax - teams[i].CPUsUsed
+	}
 	for i := range l.types {
 		boot = math.Max(boot, l.types[i].BootS)
 	}
@@ -516,8 +520,14 @@
 		}
 		live += j.LiveTasks()
 		run := l.expect(j) + l.fetchSeconds(j)
+		waits := float64(j.WaitingTasks())
 		works = append(works, rental.Work{Due: l.dueIn(j, now).Seconds(), Run: run,
-			Seconds: run * (float64(j.WaitingTasks()) + float64(j.LiveTasks())/2)})
+			Seconds: run * (waits + float64(j.LiveTasks())/2)})
+		if t := l.jobs[j].team; j.Spec.CPUs > 0 {
+			may := math.Min(waits, math.Max(0, room[t]/j.Spec.CPUs))
+			room[t] -= may * j.Spec.CPUs
+			works[len(works)-1].Waits = run * may
+		}
 	})
 	free := 0.0
 	l.fleet.Each(func(m *fleet.Machine) {
@@ -527,9 +537,11 @@
 		}
 	})
 	slots := live + int(math.Max(0, free-taken)+1e-6) // tasks of one CPU: about what it takes
-	need, usual = rental.Slots(works, slots, boot), int(l.offered.Rate(now)+0.5)
-	slog.Debug("arrays sized", "need", need, "usual", usual, "live", live, "slots", slots, "taken", taken)
-	return max(need, usual) - live, usual - live
+	rate := l.offered.Rate(now)
+	need, usual = rental.Slots(works, slots, boot), int(rate+0.5)
+	drain := rental.Drain(works, slots, rate, boot)
+	slog.Debug("arrays sized", "need", need, "usual", usual, "drain", drain, "live", live, "slots", slots, "taken", taken)
+	return max(need, usual, drain) - live, usual - live
 }
 
 // fetchSeconds is about how long a machine takes to fetch a job's image.
--- a/internal/rental/slots.go
+++ b/internal/rental/slots.go
@@ -11,6 +11,7 @@
 	Due     float64
 	Run     float64
 	Seconds float64
+	Waits   float64 // of these, of tasks that wait and that their team may run
 }
 
 // Slots returns how many tasks of the works should run at once, given how many
@@ -39,3 +40,27 @@
 	}
 	return int(math.Ceil(need))
 }
+
+// Drain returns how many tasks should run at once so that what waits is done soon,
+// beside the usual load: what will still wait when machines rented now are up is
+// spread over the time that they take to boot, or a task's run where that is longer.
+// Only work whose tasks run for longer than a machine takes to boot counts: for
+// shorter ones the boots cost more than the wait.
+//
+// It guards against a queue that never empties. Machines for the usual load alone
+// keep up with arrivals, but a backlog once formed stays, and arrays behind it are
+// late (troubles of omaruru-fares-grown: 500 to 800 tasks waited for 100 s).
+func Drain(works []Work, have int, usual, boot float64) int {
+	waits, tasks := 0.0, 0.0
+	for _, w := range works {
+		if w.Run > boot {
+			waits += w.Waits
+			tasks += w.Waits / w.Run
+		}
+	}
+	left := waits + boot*(usual-float64(have))
+	if tasks == 0 || left <= 0 {
+		return 0
+	}
+	return int(math.Ceil(usual + left/math.Max(boot, waits/tasks)))
+}
