--- a/internal/rental/slots.go
+++ b/internal/rental/slots.go
@@ -44,7 +44,7 @@
 // Drain returns how many tasks should run at once so that what waits is done soon,
 // beside the usual load: what will still wait when machines rented now are up is
 // spread over the time that they take to boot, or a task's run where that is longer.
-// Only work whose tasks run for longer than a machine takes to boot counts: for
+// Only work whose tasks run for twice as long as a machine takes to boot counts: for
 // shorter ones the boots cost more than the wait.
 //
 // It guards against a queue that never empties. Machines for the usual load alone
@@ -53,7 +53,7 @@
 func Drain(works []Work, have int, usual, boot float64) int {
 	waits, tasks := 0.0, 0.0
 	for _, w := range works {
-		if w.Run > boot {
+		if w.Run > 2*boot {
 			waits += w.Waits
 			tasks += w.Waits / w.Run
 		}
