--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -172,13 +172,6 @@
 	held := make([][]*fleet.Hold, len(machines))
 	for i := range machines {
 		machines[i], held[i] = l.view(l.fleet.At(i), now)
-		for k, h := range held[i] {
-			delay := 0.0
-			if h.Job.WaitingTasks() == 0 {
-				delay = l.expect(h.Job)
-			}
-			machines[i].Tasks[k].Delay = delay
-		}
 	}
 	jobs := make([]placement.Job, len(waiting))
 	warm := map[string][]bool{}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -27,13 +26,9 @@
 	Priority int
 	Team     int
 	Since    time.Time
-	Delay    float64 // seconds by which its job is later if it is stopped, beside its run time lost
 	Stopping bool
 }
 
-// lost returns what stopping the task costs, in seconds.
-func (t *Task) lost(now time.Time) float64 { return now.Sub(t.Since).Seconds() + t.Delay }
-
 // Job is a job with waiting tasks.
 type Job struct {
 	Team     int
@@ -463,10 +458,9 @@
 	return p.victims[k]
 }
 
-// victims picks tasks of lower priority than j, those already stopping and those that
-// cost least first, until j's task fits and its team is over its limit no more. The
-// cost is the run time lost and what it delays: the last tasks of an array hold up all
-// of it, those of one of which others still wait hold up nothing.
+// victims picks tasks of lower priority than j, those already stopping and the
+// youngest first, until j's task fits and its team is over its limit no more.
+// The cost is the run time lost.
 func (m *Machine) victims(j *Job, over Amounts, now time.Time) victim {
 	v := victim{known: true}
 	free := m.Free
@@ -486,8 +480,10 @@
 			return 1
 		case a.Priority != b.Priority:
 			return a.Priority - b.Priority
+		case !a.Since.Equal(b.Since):
+			return b.Since.Compare(a.Since)
 		}
-		return cmp.Or(cmp.Compare(a.lost(now), b.lost(now)), a.ID-b.ID)
+		return a.ID - b.ID
 	})
 	enough := func() bool { return free.Fits(j.Need) && (Amounts{}).Fits(over) }
 	for _, i := range order {
@@ -500,7 +496,7 @@
 		over[Memory] = 0 // not limited
 		v.stops = append(v.stops, i)
 		if !t.Stopping {
-			v.cost += t.lost(now)
+			v.cost += now.Sub(t.Since).Seconds()
 		}
 	}
 	v.ok = enough()
