Ask a machine that seems deaf before it is given up

Cause, found on reading: a machine that is back at once under its name with a new session looks like one whose lease has ended although its reports had been answered, and was returned after 4 s. It is asked directly first, and one that answers is not deaf. TestMachineBackAtOnce fails without (the machine is returned); TestDeafMachine still holds.

--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -71,11 +71,11 @@
 	// Where a zone is cut off its machines are not dead. A controller there may keep
 	// their leases; without one their tasks end with those, and then nothing is gained
 	// by returning them either, unless services wait to start elsewhere: others in
-	// their place would be cut off too
-	// (rough of omaruru-fares-grown: 129 machines given up with 516 tasks in a cut of
-	// 55 s, in which no zone had room for others). Once the cut is over they have the
-	// usual time anew to come back, and after an election a lease's time, as they may
-	// have to try every node (inc-2c92: 77 given up as soon as two thirds were back).
+	// their place would be cut off too (rough of omaruru-fares-grown: 129 machines
+	// given up with 516 tasks in a cut of 55 s, in which no zone had room for others).
+	// Once the cut is over they have the usual time anew to come back, and after an
+	// election a lease's time, as they may have to try every node (inc-2c92: 77 given
+	// up as soon as two thirds were back).
 	lease := l.n.settings.Workers.Lease
 	lost := func(m *fleet.Machine) bool {
 		since := quiet(m)
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -185,6 +185,7 @@
 	if m.Gone || r.Machine != m.Name {
 		return
 	}
+	m.Hears()
 	l.heed(m, r)
 }
 
@@ -207,7 +208,7 @@
 // reachOut brings this leader's token to machines that it does not hear. They may
 // still report to an earlier leader which is cut off from the state service and
 // from its peers but not from them; once they show it the higher token it turns
-// them away.
+// them away. A machine that seems deaf is asked too: one that answers is not.
 func (l *lead) reachOut(now time.Time) {
 	if !l.reign.Valid() {
 		return
@@ -218,7 +219,7 @@
 		if m.Known {
 			since = m.Heard
 		}
-		if now.Sub(since) < quiet || m.Addr == "" || m.Retire != "" || m.Booting || m.Pushing || m.Via != "" ||
+		if now.Sub(since) < quiet && m.DeafSince.IsZero() || m.Addr == "" || m.Retire != "" || m.Booting || m.Pushing || m.Via != "" ||
 			now.Sub(m.Reached) < reachEvery || l.reaching >= reachMost {
 			return
 		}
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -117,6 +117,23 @@
 	})
 }
 
+// A machine that is back at once, under its name and with a new session, starts what
+// was on it anew. It looks like a deaf one whose lease has ended, but answers.
+func TestMachineBackAtOnce(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.submit(0, submission("wk-000001", job.Service, 12, 0))
+		c.until("service runs", time.Minute, func() bool { return c.referee.On() == 12 })
+		w := c.cloud.Machines()[0]
+		w.Restart()
+		c.until("service whole again", 15*time.Second, func() bool { return c.referee.On() == 12 })
+		time.Sleep(15 * time.Second)
+		if got := c.cloud.Returned(); slices.Contains(got, w.Name) {
+			t.Errorf("returned %v", got)
+		}
+	})
+}
+
 // A late copy of a report is no sign of life: neither to the leader that has
 // returned the machine nor to a new one, which has never known it.
 func TestLateCopies(t *testing.T) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -124,10 +124,10 @@
 
 	Images    Images
 	IdleSince time.Time
-	Version   uint64 // raised by every change of what is on the machine
-	Listed    bool   // the cloud has named it to this leader, as rented or running
-	DeafSince time.Time
-	urgent    bool // commands wait to be pushed
+	Version   uint64    // raised by every change of what is on the machine
+	Listed    bool      // the cloud has named it to this leader, as rented or running
+	DeafSince time.Time // since when it seems that nothing reaches it; zero: it does
+	urgent    bool      // commands wait to be pushed
 	foreign   bool
 	answers   answers
 }
@@ -358,6 +358,10 @@
 	m.answers.last, m.answers.term = now, term
 }
 
+// Hears notes that the machine has answered or heeded something. A session that has
+// ended may also be that of a machine which was back at once.
+func (m *Machine) Hears() { m.DeafSince, m.answers.unheeded = time.Time{}, 0 }
+
 // listen judges from a new report whether answers and commands reach the machine.
 // It guards against one whose reports arrive while nothing gets back to it: it
 // looks healthy, takes up no start, and loses what it has with each lease. Signs
@@ -365,7 +369,7 @@
 // ended although its reports had been answered.
 func (m *Machine) listen(r *Report, known bool, session, token uint64, lease time.Duration, now time.Time) {
 	if r.Token > token {
-		m.DeafSince, m.answers.unheeded = time.Time{}, 0
+		m.Hears()
 		return
 	}
 	deaf := false
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -144,6 +144,17 @@
 	return w.snapshot()
 }
 
+// Restart ends all tasks, as a machine that is back at once does, and begins a new
+// session.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.kill()
+	w.session++
+	w.leaseAt = time.Now()
+	w.changed()
+}
+
 // Sicken makes every task that starts on the worker fail.
 func (w *Worker) Sicken() {
 	w.mu.Lock()
