Keep the copy of the records while it is read anew, and check tokens never given out

Both found on reading. When the copy that polls are answered from had to be read anew, it was emptied first; a poll that had been confirmed just before and was slow to look would have missed an accepted job and told its user 404. The new copy now takes the place of the old one once it is whole (TestCopyStandsUntilReadAnew).

A report with a token above every term would have deposed the leader and, told on by beats, made all nodes forget who leads. The state service is asked first; only where it cannot be does the worker's word stand (TestTokenNeverGivenOut; TestLeaderLeftWithWorkers still holds).

--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -25,10 +25,8 @@
 	}
 	term := l.reign.Term()
 	if r.Token > term {
-		// Whatever we answer would be dropped and keep the worker here. Only an
-		// election can have raised the token, so this leader is deposed, though
-		// neither the state service nor its peers may be able to tell it.
-		l.n.candidate.Learn("", r.Token)
+		// Whatever we answer would be dropped and keep the worker here.
+		l.spawn(func() { l.n.candidate.Outranked(l.ctx, r.Token) })
 		return wire.Response{Status: 421}
 	}
 	now := time.Now()
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -207,6 +207,25 @@
 	})
 }
 
+// A report with a token that was never given out deposes nobody.
+func TestTokenNeverGivenOut(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		leader := c.leader()
+		lead := c.nodes[leader].lead.Load()
+		for i := range 5 {
+			body := wire.Marshal(fleet.Report{Machine: "vm-000099", Session: 1, Tick: uint64(i + 1), Token: 1 << 60})
+			if s := c.ask(leader, "POST", "/v1/report", body).Status; s != 421 {
+				t.Errorf("answer %d", s)
+			}
+			time.Sleep(time.Second)
+		}
+		if c.nodes[leader].lead.Load() != lead {
+			t.Error("deposed")
+		}
+	})
+}
+
 // A process that is back at once, in the middle of elections, while claims of the
 // earlier ones are still to be applied: no term is used twice.
 func TestBackMidElection(t *testing.T) {
--- a/internal/intake/replica.go
+++ b/internal/intake/replica.go
@@ -127,7 +127,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range events {
-		r.apply(&events[i])
+		apply(r.jobs, &events[i])
 	}
 	r.rev = max(r.rev, rev)
 	return nil
@@ -135,10 +135,10 @@
 
 // load reads all records. Its pages are of different revisions; the changes since
 // the first one put that right, as what is older than what was read is passed over.
+// Until all is read the old copy stands: whoever it was confirmed for may still look
+// at it, and must not find an accepted job missing.
 func (r *replica) load(ctx context.Context) error {
-	r.mu.Lock()
-	r.jobs = map[string]*view{}
-	r.mu.Unlock()
+	jobs := map[string]*view{}
 	rev, after := uint64(0), ""
 	for {
 		page, err := r.store.List(ctx, ledger.JobPrefix, after, 1000, statestore.User)
@@ -148,31 +148,33 @@
 		if rev == 0 {
 			rev = page.Rev
 		}
-		r.mu.Lock()
 		for _, it := range page.Items {
-			r.apply(&statestore.Event{Put: it.Key, Value: it.Value, Rev: it.Rev})
+			apply(jobs, &statestore.Event{Put: it.Key, Value: it.Value, Rev: it.Rev})
 			after = it.Key
 		}
-		r.mu.Unlock()
 		if !page.More || len(page.Items) == 0 {
-			r.rev = rev
-			return nil
+			break
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs, r.rev = jobs, rev
+	return nil
 }
 
-func (r *replica) apply(e *statestore.Event) {
+// apply takes one change into a copy.
+func apply(jobs map[string]*view, e *statestore.Event) {
 	id, chunk, ok := ledger.SplitKey(e.Put + e.Delete)
 	if !ok {
 		return
 	}
-	v := r.jobs[id]
+	v := jobs[id]
 	if v == nil {
 		if e.Delete != "" {
 			return
 		}
 		v = &view{chunks: map[int]tally{}}
-		r.jobs[id] = v
+		jobs[id] = v
 	}
 	switch {
 	case chunk >= 0 && e.Rev <= v.chunks[chunk].rev, chunk < 0 && e.Rev <= v.rev:
@@ -194,7 +196,7 @@
 		v.known, v.cancelled, v.broken, v.rev = true, cancelled, err != nil, e.Rev
 	}
 	if !v.known && len(v.chunks) == 0 {
-		delete(r.jobs, id)
+		delete(jobs, id)
 	}
 }
 
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -80,6 +80,7 @@
 	seen   time.Time          // when the leader key was last read and named another node
 	ruling *Reign             // while this node leads
 	depose context.CancelFunc // ends it
+	asking bool               // whether a higher token that was seen is a term
 }
 
 // Leader returns the name of the node last known to lead and its term. A node names
@@ -125,6 +126,33 @@
 	}
 }
 
+// Outranked takes the news that a worker has seen a token above this leader's. Only
+// an election gives one out, so this node leads no more, unless the state service says
+// that no such term exists. Where it cannot be asked the worker's word stands: a leader
+// that is cut off from it and from its peers learns of its successor in no other way.
+func (c *Candidate) Outranked(ctx context.Context, token uint64) {
+	c.mu.Lock()
+	r := c.ruling
+	if r == nil || token <= r.Term() || c.asking {
+		c.mu.Unlock()
+		return
+	}
+	c.asking = true
+	c.mu.Unlock()
+	s, err := c.read(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asking = false
+	switch {
+	case c.ruling != r:
+	case err == nil && s.term < token:
+		slog.Error("a worker shows a token that was never given out", "token", token, "term", s.term)
+	default:
+		slog.Info("leadership lost: a worker has seen a higher token", "term", r.Term(), "token", token)
+		c.depose()
+	}
+}
+
 // Run stands for election until ctx ends. While this node leads, it runs lead
 // with a context that ends when leadership is lost.
 func (c *Candidate) Run(ctx context.Context, lead func(context.Context, *Reign)) {
