Bound the sockets that commands take

Cause, found on counting: a burst of starts opened a connection to every machine at once, up to 439 beside 1,020 allowed for workers and users, of 1,200 in all. Commands go to at most one machine in twenty sockets at a time, and 0.8 of the sockets are for workers and users: 800 or 960, with 341 and 439 workers.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -53,6 +53,7 @@
 	replan     bool // something has changed since the last pass
 	placed     time.Time
 	passTook   time.Duration
+	pushing    int // machines that are being sent commands
 	reaching   int // machines that are being reached out to
 	without    int // tasks that found no machine in the last pass
 	blocked    map[pool]time.Time
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -115,7 +115,7 @@
 	}
 	server := &wire.Server{
 		Addr:        n.settings.Listen,
-		MaxConns:    n.settings.Resources.MaxSockets * 17 / 20,
+		MaxConns:    n.settings.Resources.MaxSockets * 4 / 5,
 		IdleTimeout: 60 * time.Second,
 		ReadTimeout: 10 * time.Second,
 		Handler:     n.serve,
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -148,27 +148,35 @@
 	}
 }
 
+// pushShare bounds the machines that get commands at once: one socket in so many. A
+// burst of starts on hundreds of machines must not take the sockets of workers.
+const pushShare = 20
+
 // push sends urgent commands directly, one request a machine at a time.
 func (l *lead) push(now time.Time) {
 	if !l.reign.Valid() {
 		return
 	}
 	l.fleet.Each(func(m *fleet.Machine) {
-		if !m.Urgent() || now.Sub(m.Heard) >= l.n.operator.Silent {
-			return
+		if !m.Urgent() || now.Sub(m.Heard) >= l.n.operator.Silent || l.pushing >= l.n.settings.Resources.MaxSockets/pushShare {
+			return // its turn comes when others are done, or with its next report
 		}
 		orders := m.Orders(l.reign.Term(), maxOrders, l.settled, now)
 		if len(orders) == 0 {
 			return
 		}
 		m.Pushing = true
+		l.pushing++
 		c := l.pusher(m)
 		body := wire.Marshal(fleet.Commands{Token: l.reign.Term(), Session: m.Session, Orders: orders})
 		l.spawn(func() {
 			ctx, cancel := context.WithTimeout(l.ctx, 1500*time.Millisecond)
 			defer cancel()
 			r, err := ask(ctx, c, "POST", "/commands", body)
-			l.post(func() { l.pushed(m, &r, err) })
+			l.post(func() {
+				l.pushing--
+				l.pushed(m, &r, err)
+			})
 		})
 	})
 }
