Give silent machines up sooner that do not answer, and tell a cut by its first gap

Now a silent machine that was asked and did not answer is given up after 10 s, and one that serves in a zone of which a new leader has heard nobody after 14 s. A zone of which ten reports in a row are missing counts as cut off at once.

Excluded: the time to start elsewhere (0.1 s for most) and to return (one call).

TestHungMachine and TestCutIsNoLoss fail without their guards.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -31,6 +31,7 @@
 	ended   []chan struct{}
 	client  atomic.Int64
 	rps     float64 // that the state service allows
+	limit   float64 // CPUs that the team may use
 }
 
 const (
@@ -49,7 +50,7 @@
 	slog.SetDefault(slog.New(slog.DiscardHandler))
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := &cluster{t: t, net: standin.NewNet(ctx), store: standin.NewStore(), referee: standin.NewReferee(), rps: 200}
+		c := &cluster{t: t, net: standin.NewNet(ctx), store: standin.NewStore(), referee: standin.NewReferee(), rps: 200, limit: 16}
 		var names, addrs []string
 		for i := range 3 {
 			names, addrs = append(names, nodeName(i)), append(addrs, nodeAddr(i))
@@ -85,7 +86,7 @@
 func (c *cluster) start(i int) {
 	s := &config.Settings{Node: nodeName(i), Zone: "a", Listen: nodeAddr(i), PeerListen: peerAddr(i),
 		CloudAddr: cloudAddr, StateAddr: stateAddr, Zones: []string{"a"},
-		Teams:     []config.Team{{Name: "crew", CPUs: 8, CPUsMax: 16}},
+		Teams:     []config.Team{{Name: "crew", CPUs: 8, CPUsMax: c.limit}},
 		Workers:   config.Workers{Report: 3 * time.Second, Lease: 26 * time.Second, Cancel: 51 * time.Second},
 		State:     config.State{RPS: c.rps, WriteRPS: 60, ValueBytes: 8 << 10, TxnOps: 8},
 		Cloud:     config.Cloud{RPS: 5, ListLag: 2 * time.Second},
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -27,6 +27,7 @@
 	bootPatience = 4                // times the usual boot time, after which a machine is given up
 	bootOverdue  = 1.6              // times the usual boot time, after which it is not counted on
 	maxDeadShare = 3                // one in so many silent machines at once: rather our own network
+	cutMissed    = 10               // reports missed in a row of a zone: it is cut off
 	cutPatience  = 3                // leases for which the machines of a zone that is cut off are kept
 	minPaid      = 55 * time.Second // a machine costs 60 s at least
 	cancelLeeway = 0.55             // share of the cancellation time after which a machine is given up
@@ -47,6 +48,7 @@
 		return now.Sub(since)
 	}
 	zoneKnown, zoneSilent := make([]int, len(l.zones)), make([]int, len(l.zones))
+	zoneHeard := make([]time.Time, len(l.zones)) // when any machine there was last heard
 	l.fleet.Each(func(m *fleet.Machine) {
 		if m.Known || len(m.Holds) > 0 {
 			known++
@@ -56,6 +58,9 @@
 			}
 			if m.Zone >= 0 {
 				zoneKnown[m.Zone]++
+				if m.Heard.After(zoneHeard[m.Zone]) {
+					zoneHeard[m.Zone] = m.Heard
+				}
 				if isSilent {
 					zoneSilent[m.Zone]++
 				}
@@ -64,7 +69,13 @@
 	})
 	cut := func(silent, known int) bool { return silent > 2 && silent*maxDeadShare > known }
 	for z := range l.zones {
-		if cut(silent, known) || cut(zoneSilent[z], zoneKnown[z]) {
+		// Of hundreds of machines dozens report each second. Where none does, the zone is
+		// cut off, long before a third of its machines count as silent; those that reported
+		// last before the cut would be given up until then.
+		gap := now.Sub(zoneHeard[z])
+		missed := float64(zoneKnown[z]) * gap.Seconds() / l.n.settings.Workers.Report.Seconds()
+		none := !zoneHeard[z].IsZero() && zoneKnown[z] > 2 && gap >= time.Second && missed >= cutMissed
+		if none || cut(silent, known) || cut(zoneSilent[z], zoneKnown[z]) {
 			l.cutUntil[z] = now
 		}
 	}
@@ -75,13 +86,19 @@
 	// given up with 516 tasks in a cut of 55 s, in which no zone had room for others).
 	// Once the cut is over they have the usual time anew to come back, and after an
 	// election a lease's time, as they may have to try every node (inc-2c92: 77 given
-	// up as soon as two thirds were back).
+	// up as soon as two thirds were back). Those that serve in a zone of which a new
+	// leader has heard nobody were silent before it: the zone was cut off, as others
+	// have found their way by then (zone of omaruru-fares-fleet: replicas of a quarter
+	// of the fleet were gone for 15 s more than need be).
 	lease := l.n.settings.Workers.Lease
 	lost := func(m *fleet.Machine) bool {
 		since := quiet(m)
 		if m.Zone >= 0 && !l.cutUntil[m.Zone].IsZero() {
 			if l.cutUntil[m.Zone].Equal(now) {
 				if m.Serves() && !l.n.settings.Controls(l.zones[m.Zone]) {
+					if !m.Known && zoneSilent[m.Zone] == zoneKnown[m.Zone] {
+						return since >= op.Abandon
+					}
 					return since >= max(op.Abandon, lease)
 				}
 				return since >= max(op.Abandon, cutPatience*lease)
@@ -91,7 +108,8 @@
 		if !m.Known {
 			return since >= max(op.Abandon, lease)
 		}
-		return since >= op.Abandon
+		alone := m.Zone < 0 || now.Sub(l.cutUntil[m.Zone]) > lease
+		return since >= op.Abandon || alone && m.Unreached && since >= op.Silent
 	}
 	l.fleet.Each(func(m *fleet.Machine) {
 		why := ""
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -205,16 +205,15 @@
 	}
 }
 
-// Bounds of reaching out.
-const (
-	reachEvery = 5 * time.Second // to one machine
-	reachMost  = 8               // machines at once
-)
+// reachEvery is how often one machine is reached out to.
+const reachEvery = 5 * time.Second
 
 // reachOut brings this leader's token to machines that it does not hear. They may
 // still report to an earlier leader which is cut off from the state service and
 // from its peers but not from them; once they show it the higher token it turns
-// them away. A machine that seems deaf is asked too: one that answers is not.
+// them away. A machine that seems deaf is asked too: one that answers is not. One that
+// does not answer is given up sooner: of a hundred that hang or die together each second
+// counts for what was on them (zone and loss of both fleet deployments).
 func (l *lead) reachOut(now time.Time) {
 	if !l.reign.Valid() {
 		return
@@ -226,7 +225,7 @@
 			since = m.Heard
 		}
 		if now.Sub(since) < quiet && m.DeafSince.IsZero() || m.Addr == "" || m.Retire != "" || m.Booting || m.Pushing || m.Via != "" ||
-			now.Sub(m.Reached) < reachEvery || l.reaching >= reachMost {
+			now.Sub(m.Reached) < reachEvery || l.reaching >= l.n.settings.Resources.MaxSockets/pushShare {
 			return
 		}
 		m.Reached, m.Pushing = now, true
@@ -241,6 +240,7 @@
 			}
 			l.post(func() {
 				l.reaching--
+				m.Unreached = err != nil
 				l.pushed(m, &r, err)
 			})
 		})
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -311,3 +311,38 @@
 		}
 	})
 }
+
+// A machine that hangs is given up as soon as it is silent and does not answer when
+// asked, not only after the time that one has which may have lost its way.
+func TestHungMachine(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.runService(12)
+		time.Sleep(10 * time.Second)
+		w := c.cloud.Machines()[0]
+		w.Hang(true)
+		c.until("returned", 13*time.Second, func() bool { return slices.Contains(c.cloud.Returned(), w.Name) })
+	})
+}
+
+// A cut is not taken for the loss of those machines that had reported longest before it.
+func TestCutIsNoLoss(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.cloud.Capacity, c.limit = 24, 96
+		for i := range 3 {
+			c.kill(i)
+			c.start(i)
+		}
+		time.Sleep(2 * time.Second)
+		c.runService(80)
+		time.Sleep(10 * time.Second)
+		c.net.Cut(func(from, to string) bool { return strings.HasPrefix(from, "10.1.") || strings.HasPrefix(to, "10.1.") })
+		time.Sleep(11 * time.Second)
+		c.net.Cut(nil)
+		time.Sleep(20 * time.Second)
+		if got := c.cloud.Returned(); len(got) != 0 {
+			t.Errorf("returned %v", got)
+		}
+		c.startedOnce()
+	})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -99,31 +99,32 @@
 
 // Machine is one rented machine.
 type Machine struct {
-	Index   int // dense; that of a machine that is gone is given anew
-	Name    string
-	Addr    string
-	Type    int
-	Zone    int
-	Spot    bool
-	Known   bool // has reported to this leader
-	Session uint64
-	Tick    uint64
-	Token   uint64
-	Heard   time.Time // last report under this leader
-	Created time.Time // when this leader first knew of it
-	Recall  time.Time // when the cloud takes it away; zero: no notice
-	Seen    map[key]Seen
-	Holds   map[key]*Hold
-	Errors  int                 // failed attempts since the last that was done
-	Blamed  map[string]struct{} // jobs whose tasks failed since then
-	Sick    bool
-	Pushing bool
-	Reached time.Time // when the leader last reached out to it, unheard
-	Via     string    // node through which it is heard, if not directly
-	Failed  bool      // the cloud lists it as failed
-	Booting bool      // the cloud lists it as starting and it has not reported
-	Retire  string    // why it is being returned, empty: it is not
-	Gone    bool
+	Index     int // dense; that of a machine that is gone is given anew
+	Name      string
+	Addr      string
+	Type      int
+	Zone      int
+	Spot      bool
+	Known     bool // has reported to this leader
+	Session   uint64
+	Tick      uint64
+	Token     uint64
+	Heard     time.Time // last report under this leader
+	Created   time.Time // when this leader first knew of it
+	Recall    time.Time // when the cloud takes it away; zero: no notice
+	Seen      map[key]Seen
+	Holds     map[key]*Hold
+	Errors    int                 // failed attempts since the last that was done
+	Blamed    map[string]struct{} // jobs whose tasks failed since then
+	Sick      bool
+	Pushing   bool
+	Reached   time.Time // when the leader last reached out to it, unheard
+	Unreached bool      // it did not answer
+	Via       string    // node through which it is heard, if not directly
+	Failed    bool      // the cloud lists it as failed
+	Booting   bool      // the cloud lists it as starting and it has not reported
+	Retire    string    // why it is being returned, empty: it is not
+	Gone      bool
 
 	Images    Images
 	IdleSince time.Time
@@ -304,7 +305,7 @@
 	}
 	known, session, token := m.Known, m.Session, m.Token
 	m.Session, m.Tick, m.Token = r.Session, r.Tick, r.Token
-	m.Addr, m.Spot, m.Known, m.Heard = r.Addr, r.Spot, true, now
+	m.Addr, m.Spot, m.Known, m.Heard, m.Unreached = r.Addr, r.Spot, true, now, false
 	m.Recall = time.Time{}
 	if r.RecallS != nil {
 		m.Recall = now.Add(time.Duration(*r.RecallS * float64(time.Second)))
