Take only answers to one's own beats as signs of life, and elect who hears most

Cause: the new test in which every request arrives again, up to 40 s late (TestRepeats). A late copy of a beat counted as a sign that the leader is heard, so a node that could not reach it sent workers back to it until their leases ran out, and a leader handed over on counts 40 s old. Only the answer to one's own beat is a sign now; what an incoming beat says of terms still counts, as terms only rise.

The same test showed machines given up in a cut of a zone of five, where the gap in the reports shows too late: a machine that does not answer when asked has less time only where a cut would have shown.

The few lines that wait were in four packages and are in one, internal/pause.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -116,6 +116,16 @@
 	<-c.ended[i]
 }
 
+// large starts the controllers anew with room for 24 machines.
+func (c *cluster) large() {
+	c.cloud.Capacity, c.limit = 24, 96
+	for i := range 3 {
+		c.kill(i)
+		c.start(i)
+	}
+	time.Sleep(2 * time.Second)
+}
+
 // startedOnce checks that no task was started twice.
 func (c *cluster) startedOnce() {
 	c.t.Helper()
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -15,6 +15,7 @@
 	"tulipshelf/internal/job"
 	"tulipshelf/internal/leadership"
 	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/pause"
 	"tulipshelf/internal/placement"
 	"tulipshelf/internal/rental"
 	"tulipshelf/internal/statestore"
@@ -58,6 +59,7 @@
 	without    int // tasks that found no machine in the last pass
 	blocked    map[pool]time.Time
 	cutUntil   []time.Time // by zone: when it was last seen cut off
+	astray     time.Time   // since when machines go to another node; zero: they do not
 	offered    rental.Offered
 	learned    rental.Learned
 	recalled   time.Time // up to when an earlier leader's estimates reach
@@ -319,7 +321,7 @@
 		}
 		if err != nil {
 			slog.Debug("watch failed", "err", err)
-			sleep(ctx, 300*time.Millisecond)
+			pause.For(ctx, 300*time.Millisecond)
 			continue
 		}
 		rev = max(rev, at)
@@ -329,7 +331,7 @@
 			}
 		})
 		// Changes come in company, our own among them; each new watch is a request.
-		sleep(ctx, 50*time.Millisecond)
+		pause.For(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -355,13 +357,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (l *lead) onChange(e *statestore.Event) {
 	if id, chunk, ok := ledger.SplitKey(e.Delete); e.Delete != "" && ok && chunk < 0 {
 		if j := l.book.Gone(id, true); j != nil {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -18,6 +18,7 @@
 	"tulipshelf/internal/intake"
 	"tulipshelf/internal/leadership"
 	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/pause"
 	"tulipshelf/internal/peer"
 	"tulipshelf/internal/relay"
 	"tulipshelf/internal/statestore"
@@ -75,7 +76,8 @@
 		cloud:    cloud.New(net.Dial, s.CloudAddr, s.Cloud.RPS*nodeShare),
 	}
 	n.lodger = &relay.Lodger{Node: s.Node, Store: n.store, Dial: net.Dial, ValueBytes: s.State.ValueBytes, TxnOps: s.State.TxnOps}
-	n.candidate = &leadership.Candidate{Node: s.Node, TTL: o.LeaderLease, Store: n.store}
+	n.candidate = &leadership.Candidate{Node: s.Node, TTL: o.LeaderLease, Store: n.store,
+		Defer: func() bool { return n.peers.StraysElsewhere(handOverWithin) > handOverTimes*max(n.strayed(), 1) }}
 	n.intake = &intake.Intake{
 		Store:     n.store,
 		Teams:     s.Teams,
@@ -95,7 +97,7 @@
 	}
 	n.intake.Init(s.State.RPS)
 	n.peers = &peer.Net{Dial: net.Dial, Node: s.Node, Known: n.candidate.Leader, Learned: n.candidate.Learn, Changed: n.onChanged,
-		Strays: func() int { return n.strays.count(s.Workers.Report*3/2, time.Now()) }}
+		Strays: n.strayed}
 	for _, p := range s.Peers {
 		n.peers.Others = append(n.peers.Others, peer.Other{Node: p.Node, Addr: p.Addr})
 	}
@@ -205,7 +207,7 @@
 				kept = value
 			}
 		}
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 	}
 }
 
@@ -326,6 +328,16 @@
 	return true
 }
 
+// strayed returns how many machines have lately reported to this node though it does
+// not lead: within the time that a worker takes to come back from a node that does not
+// answer.
+func (n *Node) strayed() int {
+	return n.strays.count(n.settings.Workers.Report*3/2+strayRound, time.Now())
+}
+
+// strayRound is the worker's wait for a response, and the pause behind it.
+const strayRound = 5 * time.Second
+
 // strays remembers the machines that report to a node which does not lead.
 type strays struct {
 	mu   sync.Mutex
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tulipshelf/internal/fleet"
+	"tulipshelf/internal/pause"
 	"tulipshelf/internal/relay"
 	"tulipshelf/internal/statestore"
 	"tulipshelf/internal/wire"
@@ -37,7 +38,7 @@
 		if rev == 0 {
 			page, err := l.n.store.List(ctx, relay.UpPrefix, "", 1, statestore.Rest)
 			if err != nil {
-				sleep(ctx, time.Second)
+				pause.For(ctx, time.Second)
 				continue
 			}
 			rev = page.Rev
@@ -47,7 +48,7 @@
 			rev = 0
 		}
 		if err != nil {
-			sleep(ctx, time.Second)
+			pause.For(ctx, time.Second)
 			continue
 		}
 		rev = max(rev, at)
@@ -61,7 +62,7 @@
 				l.takeMail(&m)
 			}
 		})
-		sleep(ctx, 200*time.Millisecond)
+		pause.For(ctx, 200*time.Millisecond)
 	}
 }
 
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -16,6 +16,7 @@
 	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/job"
 	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/pause"
 	"tulipshelf/internal/placement"
 	"tulipshelf/internal/rental"
 	"tulipshelf/internal/statestore"
@@ -39,6 +40,7 @@
 		return
 	}
 	op := &l.n.operator
+	report, lease := l.n.settings.Workers.Report, l.n.settings.Workers.Lease
 	known, silent := 0, 0
 	quiet := func(m *fleet.Machine) time.Duration {
 		since := l.started
@@ -73,7 +75,7 @@
 		// cut off, long before a third of its machines count as silent; those that reported
 		// last before the cut would be given up until then.
 		gap := now.Sub(zoneHeard[z])
-		missed := float64(zoneKnown[z]) * gap.Seconds() / l.n.settings.Workers.Report.Seconds()
+		missed := float64(zoneKnown[z]) * gap.Seconds() / report.Seconds()
 		none := !zoneHeard[z].IsZero() && zoneKnown[z] > 2 && gap >= time.Second && missed >= cutMissed
 		if none || cut(silent, known) || cut(zoneSilent[z], zoneKnown[z]) {
 			l.cutUntil[z] = now
@@ -90,7 +92,6 @@
 	// leader has heard nobody were silent before it: the zone was cut off, as others
 	// have found their way by then (zone of omaruru-fares-fleet: replicas of a quarter
 	// of the fleet were gone for 15 s more than need be).
-	lease := l.n.settings.Workers.Lease
 	lost := func(m *fleet.Machine) bool {
 		since := quiet(m)
 		if m.Zone >= 0 && !l.cutUntil[m.Zone].IsZero() {
@@ -108,7 +109,9 @@
 		if !m.Known {
 			return since >= max(op.Abandon, lease)
 		}
-		alone := m.Zone < 0 || now.Sub(l.cutUntil[m.Zone]) > lease
+		// Only where a cut would have shown by now may it be the machine alone.
+		alone := m.Zone >= 0 && now.Sub(l.cutUntil[m.Zone]) > lease &&
+			float64(zoneKnown[m.Zone])*(op.Silent-report*5/4).Seconds() >= cutMissed*report.Seconds()
 		return since >= op.Abandon || alone && m.Unreached && since >= op.Silent
 	}
 	l.fleet.Each(func(m *fleet.Machine) {
@@ -170,7 +173,7 @@
 	)
 	var listed time.Time
 	var pending []cloud.Rental // asked for and not answered for certain
-	pause := decideEvery       // grows while the cloud does not serve
+	gap := decideEvery         // grows while the cloud does not serve
 	for ctx.Err() == nil {
 		failed := false
 		if time.Since(listed) >= max(2*time.Second, l.n.settings.Cloud.ListLag/2) {
@@ -211,14 +214,14 @@
 		pending = again
 		switch {
 		case !failed:
-			pause = decideEvery
+			gap = decideEvery
 		default:
-			if pause == decideEvery {
+			if gap == decideEvery {
 				slog.Info("cloud does not serve", "pending", len(pending))
 			}
-			pause = min(2*pause, maxPause)
+			gap = min(2*gap, maxPause)
 		}
-		sleep(ctx, pause*3/4+rand.N(pause/2))
+		pause.For(ctx, gap*3/4+rand.N(gap/2))
 	}
 }
 
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -248,10 +248,12 @@
 }
 
 // How many times as many machines must come to another node as this leader hears,
-// before it lets that one lead, and how recently the other must have said so.
+// before it lets that one lead, how recently the other must have said so, and for how
+// long: until the third node knows as well which one is to be elected.
 const (
 	handOverTimes  = 2
 	handOverWithin = 3 * time.Second
+	handOverAfter  = 1500 * time.Millisecond
 )
 
 // handOver ends this reign if another node hears far more machines than this one.
@@ -270,7 +272,15 @@
 			heard++
 		}
 	})
-	if others := l.n.peers.StraysElsewhere(handOverWithin); others > handOverTimes*max(heard, 1) {
+	others := l.n.peers.StraysElsewhere(handOverWithin)
+	if others <= handOverTimes*max(heard, 1) {
+		l.astray = time.Time{}
+		return
+	}
+	if l.astray.IsZero() {
+		l.astray = now
+	}
+	if now.Sub(l.astray) >= handOverAfter {
 		slog.Info("handing over: machines come to another node", "term", l.reign.Term(), "heard", heard, "elsewhere", others)
 		l.n.candidate.HandOver()
 	}
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -8,6 +8,7 @@
 
 	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/pause"
 	"tulipshelf/internal/statestore"
 )
 
@@ -56,7 +57,7 @@
 		slog.Debug("batch not written", "err", err)
 		l.writing = true // wait a little before the next try
 		l.spawn(func() {
-			sleep(l.ctx, 100*time.Millisecond)
+			pause.For(l.ctx, 100*time.Millisecond)
 			l.post(func() { l.writing = false })
 		})
 		return
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"tulipshelf/internal/pause"
 	"tulipshelf/internal/statestore"
 	"tulipshelf/internal/wire"
 )
@@ -73,6 +74,7 @@
 	Node  string
 	TTL   time.Duration
 	Store *statestore.Client
+	Defer func() bool // whether another node had better be elected; nil: never
 
 	mu     sync.Mutex
 	leader string
@@ -82,6 +84,7 @@
 	depose context.CancelFunc // ends it
 	asking bool               // whether a higher token that was seen is a term
 	yields bool               // whether this reign ends for another node to lead
+	waited bool               // whether this node has let another go first in this election
 }
 
 // Leader returns the name of the node last known to lead and its term. A node names
@@ -172,7 +175,7 @@
 		r, err := c.campaign(ctx)
 		if err != nil {
 			slog.Debug("no leadership", "err", err)
-			pause(ctx, 300*time.Millisecond)
+			pause.For(ctx, jitter(300*time.Millisecond))
 			continue
 		}
 		if r == nil {
@@ -184,13 +187,8 @@
 	}
 }
 
-// pause waits about d, with jitter so that nodes do not act in step.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d/2 + rand.N(d)):
-	}
-}
+// jitter returns about d, so that nodes do not act in step.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
 type standing struct {
 	holder holder
@@ -237,13 +235,21 @@
 	if s.hrev != 0 && s.holder.Node != c.Node {
 		c.note(s.holder.Node, s.holder.Term)
 		c.mu.Lock()
-		c.seen = time.Now()
+		c.seen, c.waited = time.Now(), false
 		c.mu.Unlock()
 		if _, _, err := c.Store.Watch(ctx, prefix, s.rev, 5*time.Second); err != nil {
 			return nil, err
 		}
 		return nil, nil
 	}
+	// One that hears most machines goes first, or the next reign is as short as the
+	// last: after a cut two elections in 12 s, in which services were given up. It has
+	// a moment only, as it may not be able to stand.
+	if c.Defer != nil && !c.waited && c.Defer() {
+		c.waited = true
+		pause.For(ctx, c.TTL/4)
+		return nil, nil
+	}
 	sent := time.Now()
 	lease, err := c.Store.Grant(ctx, c.TTL)
 	if err != nil {
@@ -375,6 +381,6 @@
 		// Nothing is sent under this term any more. The others have until about the
 		// lease would have ended; if none of them can lead this node does again.
 		r.Resign(outer)
-		pause(outer, c.TTL)
+		pause.For(outer, jitter(c.TTL))
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -150,17 +150,18 @@
 
 func (n *Net) beat(ctx context.Context, o Other) {
 	body, ok := n.post(ctx, o, beatPath, n.own())
-	if ok {
-		n.take(body)
+	if !ok {
+		return
 	}
-}
-
-func (n *Net) take(body []byte) bool {
-	var b Beat
-	if err := proto.Unmarshal(body, &b); err != nil || b.Node == "" {
-		return false
+	b, ok := n.take(body)
+	if !ok {
+		return
 	}
+	// Only the answer to one's own beat is a sign of life. One that comes in may be a
+	// late copy: taken for a sign, it kept workers waiting for a leader that could not
+	// be reached until their leases ran out (TestRepeats).
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.heard == nil {
 		n.heard, n.leading, n.strays = map[string]time.Time{}, map[string]time.Time{}, map[string]int{}
 	}
@@ -169,9 +170,16 @@
 	if b.Leader == b.Node {
 		n.leading[b.Node] = time.Now()
 	}
-	n.mu.Unlock()
+}
+
+// take learns who leads; a late copy names a lower term.
+func (n *Net) take(body []byte) (*Beat, bool) {
+	var b Beat
+	if err := proto.Unmarshal(body, &b); err != nil || b.Node == "" {
+		return nil, false
+	}
 	n.Learned(b.Leader, b.Term)
-	return true
+	return &b, true
 }
 
 // Tell passes on that a job has changed: to the leader, if one is known.
@@ -195,7 +203,7 @@
 	}
 	switch req.Path {
 	case beatPath:
-		if !n.take(req.Body) {
+		if _, ok := n.take(req.Body); !ok {
 			return wire.Response{Status: 400}
 		}
 		return wire.Response{Status: 200, Body: n.own()}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"tulipshelf/internal/fleet"
+	"tulipshelf/internal/pause"
 	"tulipshelf/internal/statestore"
 	"tulipshelf/internal/wire"
 )
@@ -271,7 +272,7 @@
 		defer wg.Done()
 		l.receive(ctx)
 	}()
-	for wait(ctx, writeEvery) {
+	for pause.For(ctx, writeEvery) {
 		if !l.lodging() {
 			l.forget()
 			continue
@@ -300,15 +301,6 @@
 	l.leader, l.reports, l.passed, l.addrs, l.boxes = "", nil, nil, nil, nil
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // Fill returns how much of a limit to fill: the state service counts by the JSON form,
 // which is longer than what is written here.
 func Fill(limit int) int { return limit * 6 / 10 }
@@ -414,7 +406,7 @@
 	for ctx.Err() == nil {
 		if !l.lodging() {
 			rev = 0
-			if !wait(ctx, 500*time.Millisecond) {
+			if !pause.For(ctx, 500*time.Millisecond) {
 				return
 			}
 			continue
@@ -437,7 +429,7 @@
 				<-slots
 			}()
 		}
-		wait(ctx, 200*time.Millisecond)
+		pause.For(ctx, 200*time.Millisecond)
 	}
 }
 
--- a/internal/rental/slots.go
+++ b/internal/rental/slots.go
@@ -43,7 +43,7 @@
 
 // Drain returns how many tasks should run at once so that what waits is done soon,
 // beside the usual load: what will still wait when machines rented now are up is
-// spread over three times the time that they take to boot, or a task's run where that is
+// spread over four times the time that they take to boot, or a task's run where that is
 // longer. For less the boots would cost more than the wait.
 //
 // It guards against a queue that never empties. Machines for the usual load alone
@@ -65,4 +65,4 @@
 }
 
 // drainBoots is for how many times as long as it boots a machine should be of use.
-const drainBoots = 3
+const drainBoots = 4
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"tulipshelf/internal/wire"
 )
@@ -20,11 +21,13 @@
 	servers map[string]wire.Handler
 	cut     func(from, to string) bool
 	conns   map[net.Conn][2]string
+	delays  []time.Duration // after which each request is delivered once more
+	asked   map[string]int  // requests by server
 }
 
 // NewNet returns a network without servers that lasts until ctx ends.
 func NewNet(ctx context.Context) *Net {
-	return &Net{ctx: ctx, servers: map[string]wire.Handler{}, conns: map[net.Conn][2]string{}}
+	return &Net{ctx: ctx, servers: map[string]wire.Handler{}, conns: map[net.Conn][2]string{}, asked: map[string]int{}}
 }
 
 // Serve answers at addr until ctx ends.
@@ -55,6 +58,40 @@
 	}
 }
 
+// Repeat makes every request that was carried out arrive once more after each of the
+// delays, with nobody waiting for the answer: as late copies of packets do.
+func (n *Net) Repeat(delays ...time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delays = delays
+}
+
+// Asked returns how many requests a server has had.
+func (n *Net) Asked(addr string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.asked[addr]
+}
+
+// again delivers copies of a request, if that is wanted.
+func (n *Net) again(addr string, req wire.Request) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.asked[addr]++
+	for _, d := range n.delays {
+		req := req
+		req.Body = append([]byte(nil), req.Body...)
+		time.AfterFunc(d, func() {
+			n.mu.Lock()
+			h := n.servers[addr] // whoever serves there by then
+			n.mu.Unlock()
+			if h != nil && n.ctx.Err() == nil {
+				h(n.ctx, &req)
+			}
+		})
+	}
+}
+
 // Dial returns the dial function of the host called from.
 func (n *Net) Dial(from string) wire.DialFunc {
 	return func(ctx context.Context, addr string) (net.Conn, error) {
@@ -73,7 +110,7 @@
 		n.mu.Lock()
 		n.conns[a] = [2]string{from, addr}
 		n.mu.Unlock()
-		go n.answer(b, h)
+		go n.answer(addr, b, h)
 		return &conn{Conn: a, n: n}, nil
 	}
 }
@@ -93,7 +130,7 @@
 // drop is the status of an answer that is never sent.
 const drop = -1
 
-func (n *Net) answer(c net.Conn, h wire.Handler) {
+func (n *Net) answer(addr string, c net.Conn, h wire.Handler) {
 	defer c.Close()
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
@@ -103,6 +140,7 @@
 	for {
 		req, used, err := wire.ParseRequest(buf)
 		if err == nil {
+			n.again(addr, req)
 			resp := h(ctx, &req)
 			if resp.Status == drop {
 				return
