Let a new leader learn from the first reports which images machines have

A new leader knew of the images of what runs only; those of tasks that have ended on a machine stand in its reports as well.

Excluded: room (300 to 600 CPUs free) and the return of the machines (one call).

The parts of relayed commands are also bounded where values may be larger than a transaction carries.

TestNewLeaderKnowsImages fails without it.

--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -127,7 +127,7 @@
 
 // boxes returns the commands for the machines heard through a node, in parts.
 func (l *lead) boxes(node string, s *relayed, now time.Time) []relay.Box {
-	term, limit := l.reign.Term(), relay.Fill(l.n.settings.State.ValueBytes)-200
+	term, limit := l.reign.Term(), relay.Fill(min(l.n.settings.State.ValueBytes, relay.MaxWrite))-200
 	parts := make([]relay.Box, len(s.written))
 	left := make([]int, len(parts))
 	for i := range parts {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -51,6 +51,9 @@
 	m.Type, m.Zone = l.lookup(r.Type, r.Zone)
 	was := m.Version
 	idle := !m.Known || now.Sub(m.Heard) >= l.n.operator.Silent
+	if !m.Known {
+		l.learnImages(m, r, now)
+	}
 	outcomes, fresh := m.Handle(r, l.n.settings.Workers.Lease, now)
 	if !fresh {
 		return m
@@ -68,6 +71,22 @@
 	return m
 }
 
+// learnImages takes from a machine's first report to this leader which images it has:
+// those of the tasks that run or have run there. Without it a new leader knows only of
+// what runs, and sends work to fetch what is there.
+func (l *lead) learnImages(m *fleet.Machine, r *fleet.Report, now time.Time) {
+	if m.Type < 0 {
+		return
+	}
+	for _, t := range r.Tasks {
+		id, _, _ := fleet.SplitTask(t.Task)
+		if j := l.book.Job(id); j != nil && (t.Status == fleet.Running || t.Cause == fleet.CauseDone) {
+			m.Images.Use(j.Spec.Image, j.Spec.ImageGB, l.types[m.Type].Disk, now)
+			m.Images.Fetched(j.Spec.Image)
+		}
+	}
+}
+
 func (l *lead) lookup(typ, zone string) (int, int) {
 	t, ok := l.typeIndex[typ]
 	if !ok {
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -367,6 +367,49 @@
 	})
 }
 
+// A new leader learns from a machine's first report which images it has, those of tasks
+// that have ended there included.
+func TestNewLeaderKnowsImages(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		array := submission("wk-000001", job.Array, 100, 3)
+		array["bundle"] = "img-array"
+		c.submit(0, array)
+		c.until("some tasks done", time.Minute, func() bool { return len(c.referee.Begun()) >= 20 })
+		service := submission("wk-000002", job.Service, 16, 0)
+		service["rank"] = "high"
+		c.submit(0, service) // takes all that the team may use
+		c.until("only the service runs", 30*time.Second, func() bool {
+			n := 0
+			for task := range c.referee.Begun() {
+				if strings.HasPrefix(task, "wk-000002/") {
+					n++
+				}
+			}
+			return n == 16 && c.referee.On() == 16
+		})
+		old := c.leader()
+		c.kill(old)
+		c.until("another leader", 20*time.Second, func() bool { return c.leader() >= 0 })
+		time.Sleep(12 * time.Second)
+		l := c.nodes[c.leader()].lead.Load()
+		have := make(chan int, 1)
+		l.post(func() {
+			n := 0
+			l.fleet.Each(func(m *fleet.Machine) {
+				if m.Images.Ready("img-array") {
+					n++
+				}
+			})
+			have <- n
+		})
+		if n := <-have; n == 0 {
+			t.Error("no machine is known to have the image")
+		}
+		c.start(old)
+	})
+}
+
 // Every request that was carried out arrives again, within a second and after more
 // than a lease: reports, commands, transactions, rentals and returns, submissions and
 // cancellations, what the controllers tell each other. Jobs run once, stay what users
