Share the tests' restart of all controllers and their wait for a submission

On reading the whole change again: the loop that ends and starts all controllers stood in six tests, the wait until a submission is taken in six. They are restartAll and accept now; limits, inputs and assertions are the same. Only test files are touched.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -119,11 +119,25 @@
 // large starts the controllers anew with room for 24 machines.
 func (c *cluster) large() {
 	c.cloud.Capacity, c.limit = 24, 96
+	c.restartAll()
+	time.Sleep(2 * time.Second)
+}
+
+// restartAll ends all controllers, one after the other, and starts them anew.
+func (c *cluster) restartAll() {
 	for i := range 3 {
 		c.kill(i)
 		c.start(i)
 	}
-	time.Sleep(2 * time.Second)
+}
+
+// accept submits a job, ever again, until it is accepted.
+func (c *cluster) accept(limit time.Duration, node int, m map[string]any) {
+	c.t.Helper()
+	c.until("submission taken", limit, func() bool {
+		s := c.submit(node, m)
+		return s == 201 || s == 200
+	})
 }
 
 // startedOnce checks that no task was started twice.
@@ -300,10 +314,7 @@
 		const jobs = 60
 		id := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
 		for i := range jobs {
-			c.until("submission taken", 10*time.Second, func() bool {
-				s := c.submit(i%3, submission(id(i), job.Service, 1, 0))
-				return s == 201 || s == 200
-			})
+			c.accept(10*time.Second, i%3, submission(id(i), job.Service, 1, 0))
 		}
 		time.Sleep(30 * time.Second)
 		before := c.store.Asked()
@@ -395,10 +406,7 @@
 			t.Errorf("%d of 2 replicas left", c.referee.On())
 		}
 		c.store.Down(false)
-		c.until("submissions taken", 10*time.Second, func() bool {
-			s := c.submit(0, submission("wk-000002", job.Array, 1, 1))
-			return s == 201 || s == 200
-		})
+		c.accept(10*time.Second, 0, submission("wk-000002", job.Array, 1, 1))
 		c.until("array done", time.Minute, c.done("wk-000002"))
 		if n := c.referee.Starts["wk-000001/0"]; n != 1 {
 			t.Errorf("replica started %d times", n)
@@ -555,10 +563,7 @@
 		c.runService(2)
 		time.Sleep(time.Minute) // the leader reads the catalog once a minute
 		c.cloud.Down(true)
-		for i := range 3 {
-			c.kill(i)
-			c.start(i)
-		}
+		c.restartAll()
 		c.until("a submission is taken", 15*time.Second, func() bool {
 			return c.submit(0, submission("wk-000002", job.Array, 2, 5)) == 201
 		})
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -51,24 +51,15 @@
 func TestPollsAfterTroubles(t *testing.T) {
 	simulate(t, func(c *cluster) {
 		c.rps = 30
-		for i := range 3 {
-			c.kill(i)
-			c.start(i)
-		}
+		c.restartAll()
 		time.Sleep(2 * time.Second)
 		const jobs = 150
 		id := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
 		for i := range jobs {
-			c.until("submission taken", time.Minute, func() bool {
-				s := c.submit(i%3, submission(id(i), job.Service, 1, 0))
-				return s == 201 || s == 200
-			})
+			c.accept(time.Minute, i%3, submission(id(i), job.Service, 1, 0))
 		}
 		c.store.Down(true)
-		for i := range 3 {
-			c.kill(i)
-			c.start(i)
-		}
+		c.restartAll()
 		time.Sleep(30 * time.Second)
 		c.store.Down(false)
 		var mu sync.Mutex
@@ -262,10 +253,7 @@
 		time.Sleep(2 * time.Second)
 		c.runService(8)
 		c.store.Down(true)
-		for i := range 3 {
-			c.kill(i)
-			c.start(i)
-		}
+		c.restartAll()
 		time.Sleep(8 * time.Second) // one of them was told of the leader before that was ended
 		for i, want := range []int{200, 421} {
 			body := wire.Marshal(fleet.Report{Machine: "vm-000099", Session: 1, Tick: uint64(i + 1), Token: 1})
@@ -279,10 +267,7 @@
 		}
 		c.store.Down(false)
 		c.submit(0, submission("wk-000002", job.Array, 2, 5))
-		c.until("a submission is taken", 20*time.Second, func() bool {
-			s := c.submit(0, submission("wk-000002", job.Array, 2, 5))
-			return s == 201 || s == 200
-		})
+		c.accept(20*time.Second, 0, submission("wk-000002", job.Array, 2, 5))
 		c.until("array done", time.Minute, c.done("wk-000002"))
 		c.startedOnce()
 	})
@@ -458,21 +443,15 @@
 	const machines = 2000
 	simulate(t, func(c *cluster) {
 		c.cloud.Capacity, c.limit, c.rps = machines, 1e6, 800
-		for i := range 3 {
-			c.kill(i)
-			c.start(i)
-		}
+		c.restartAll()
 		time.Sleep(2 * time.Second)
 		id := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
 		const arrays, services = 24, 150
 		for i := range arrays {
-			c.until("submission taken", 10*time.Second, func() bool { s := c.submit(i%3, submission(id(i), job.Array, 500, 60)); return s == 201 || s == 200 })
+			c.accept(10*time.Second, i%3, submission(id(i), job.Array, 500, 60))
 		}
 		for i := range services {
-			c.until("submission taken", 10*time.Second, func() bool {
-				s := c.submit(i%3, submission(id(100+i), job.Service, 1, 0))
-				return s == 201 || s == 200
-			})
+			c.accept(10*time.Second, i%3, submission(id(100+i), job.Service, 1, 0))
 		}
 		c.until("most tasks run", 2*time.Minute, func() bool { return c.referee.On() > 5000 })
 		all := c.cloud.Machines()
