--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -46,8 +46,11 @@
 	Times  float64
 }
 
-// KindWait is the kind of the objectives at start.
-const KindWait = "wait"
+// Kinds of the objectives at start: of a class, and of work within its team's guarantee.
+const (
+	KindWait      = "wait"
+	KindGuarantee = "guarantee"
+)
 
 // Workers holds the workers' fixed intervals.
 type Workers struct{ Report, Lease, Cancel time.Duration }
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -21,6 +21,9 @@
 			s := h.Job.Spec
 			if m.Type >= 0 {
 				m.Images.Use(s.Image, s.ImageGB, l.types[m.Type].Disk, now)
+				if !h.Running.IsZero() {
+					m.Images.Fetched(s.Image)
+				}
 			}
 			for r, n := range l.jobs[h.Job].need {
 				if n > 0 {
@@ -175,7 +178,7 @@
 		machines[i], held[i] = l.view(l.fleet.At(i), now)
 	}
 	jobs := make([]placement.Job, len(waiting))
-	warm := map[string][]bool{}
+	images := map[string][]placement.Image{}
 	beyond := l.beyond()
 	for i, j := range waiting {
 		st := l.jobs[j]
@@ -183,7 +186,8 @@
 		jobs[i] = placement.Job{Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
 			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
-			Urgent: s.Shape == job.Service, Overdue: now.Sub(j.At) > beginBy && j.LiveTasks() == 0 && j.DoneTasks() == 0, Warm: l.warm(j, warm), Avoid: l.avoid(st)}
+			Urgent: s.Shape == job.Service, Overdue: now.Sub(j.At) > beginBy && j.LiveTasks() == 0 && j.DoneTasks() == 0, Avoid: l.avoid(st)}
+		jobs[i].Image, jobs[i].Costly = l.images(j, images)
 		var known bool
 		if jobs[i].InZone, known = l.inZones(j); !known && (s.OneZone || s.Apart) {
 			jobs[i].Waiting = 0
@@ -282,31 +286,45 @@
 	return out
 }
 
-// warm returns the machines that have a job's image, if a fetch of it takes
+// images returns what the machines have of a job's image, if a fetch of it takes
 // longer than the index remembers, or a good part of the time in which its class
 // should start: on kapana-orders-grown 2 s of 4. Jobs with the same image share the
-// list, so that one pass sends them to the same machines.
-func (l *lead) warm(j *ledger.Job, lists map[string][]bool) []bool {
-	limit := l.n.operator.Smoothing
+// list, so that one pass sends them to the same machines. It also tells whether the
+// fetch takes up all of that time.
+func (l *lead) images(j *ledger.Job, lists map[string][]placement.Image) (list []placement.Image, costly bool) {
+	limit, fetch := l.n.operator.Smoothing, l.fetchSeconds(j)
 	for _, o := range l.n.settings.Objectives {
-		if o.Kind == config.KindWait && o.Class == j.Spec.Class && o.Within > 0 {
+		if o.Within <= 0 || o.Kind != config.KindGuarantee && (o.Kind != config.KindWait || o.Class != j.Spec.Class) {
+			continue
+		}
+		costly = costly || fetch*fetchSpread >= o.Within.Seconds()
+		if o.Kind == config.KindWait {
 			limit = min(limit, o.Within/startShare)
 		}
 	}
-	if l.fetchSeconds(j) <= limit.Seconds() {
-		return nil
+	if fetch <= limit.Seconds() {
+		return nil, false
 	}
-	list := lists[j.Spec.Image]
+	list = lists[j.Spec.Image]
 	if list == nil {
-		list = make([]bool, l.fleet.Size())
+		list = make([]placement.Image, l.fleet.Size())
 		for i := range list {
-			list[i] = l.fleet.At(i).Images.Has(j.Spec.Image)
+			switch m := l.fleet.At(i); {
+			case m.Images.Ready(j.Spec.Image):
+				list[i] = placement.Warm
+			case m.Images.Has(j.Spec.Image):
+				list[i] = placement.Coming
+			}
 		}
 		lists[j.Spec.Image] = list
 	}
-	return list
+	return list, costly
 }
 
+// fetchSpread is how many times as long as usual a fetch may take: "give or take a
+// third" (PROTOCOL-tulipshelf.md).
+const fetchSpread = 4.0 / 3
+
 // ready tells whether the gathering of reports is over, so that tasks may be
 // placed: after the design's time, or sooner.
 //
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -123,6 +123,7 @@
 		if !o.Hold.Running.IsZero() {
 			l.learned.Add(a.Job.Spec.Class, a.Job.Spec.ExpectS, now.Sub(o.Hold.Running).Seconds())
 		}
+		m.Images.Fetched(a.Job.Spec.Image)
 		m.Errors = 0
 		clear(m.Blamed)
 		st.errors, st.backoff = 0, 0
--- a/internal/fleet/images.go
+++ b/internal/fleet/images.go
@@ -7,8 +7,22 @@
 type Images struct {
 	gb   map[string]float64
 	used map[string]time.Time
+	here map[string]bool // fetched: a task that needs it has run
 }
 
+// Fetched notes that a task with the image runs.
+func (x *Images) Fetched(name string) {
+	if _, ok := x.gb[name]; ok && !x.here[name] {
+		if x.here == nil {
+			x.here = map[string]bool{}
+		}
+		x.here[name] = true
+	}
+}
+
+// Ready tells whether the machine is thought to have the image fetched.
+func (x *Images) Ready(name string) bool { return x.here[name] }
+
 // Use notes that a task with the image is, or soon will be, on the machine.
 func (x *Images) Use(name string, gb, room float64, now time.Time) {
 	if x.gb == nil {
@@ -28,10 +42,11 @@
 		}
 		delete(x.gb, oldest)
 		delete(x.used, oldest)
+		delete(x.here, oldest)
 	}
 }
 
-// Has tells whether the machine is thought to have the image.
+// Has tells whether the machine is thought to have the image, or to fetch it.
 func (x *Images) Has(name string) bool {
 	_, ok := x.gb[name]
 	return ok
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -44,15 +44,26 @@
 	Spot     bool
 	OneZone  bool
 	Apart    bool
-	Gang     bool   // placed whole or not at all
-	Tasks    int    // of the job in all
-	InZone   []int  // of its tasks not done or now on machines, by zone
-	Urgent   bool   // may preempt
-	Overdue  bool   // has waited too long with none of its tasks begun
-	Avoid    []bool // machines on which it has failed; nil: none
-	Warm     []bool // machines that have its image, where that comes before the index; nil: nowhere
+	Gang     bool    // placed whole or not at all
+	Tasks    int     // of the job in all
+	InZone   []int   // of its tasks not done or now on machines, by zone
+	Urgent   bool    // may preempt
+	Overdue  bool    // has waited too long with none of its tasks begun
+	Avoid    []bool  // machines on which it has failed; nil: none
+	Image    []Image // what machines have of its image, where that comes before the index; nil: nowhere
+	Costly   bool    // to fetch its image takes up the time in which it should start
 }
 
+// Image is what a machine has of a job's image.
+type Image uint8
+
+// Whether a machine would have to fetch an image, fetches it, or has it.
+const (
+	Cold Image = iota
+	Coming
+	Warm
+)
+
 // Team is a team's limit and what its tasks use now.
 type Team struct {
 	CPUsMax, GPUsMax float64
@@ -153,7 +164,12 @@
 			p.gang(i, j)
 			continue
 		}
-		left := j.Waiting - p.fill(i, j, j.Waiting)
+		left := j.Waiting
+		if j.Urgent && j.Costly {
+			left -= p.fill(i, j, left, true)
+			left -= p.preempt(i, j, left, true)
+		}
+		left -= p.fill(i, j, left, false)
 		if left == 0 {
 			continue
 		}
@@ -161,7 +177,7 @@
 			p.out.Starved[i] = left
 		}
 		if j.Urgent {
-			p.preempt(i, j, left)
+			p.preempt(i, j, left, false)
 		}
 	}
 	return p.out
@@ -218,20 +234,21 @@
 	}
 	sort.Slice(late, func(x, y int) bool { return jobs[late[x]].Arrival < jobs[late[y]].Arrival })
 	for _, i := range late {
-		jobs[i].Waiting -= p.fill(i, &jobs[i], 1)
+		jobs[i].Waiting -= p.fill(i, &jobs[i], 1, false)
 	}
 }
 
 // fill places up to most tasks of a job, as far as the team and the machines have
 // room, and returns how many. The index does not change within a pass, so the machine
 // that is best for one task is best for the next until it is full: the machines
-// are looked through once for a job, not once for a task.
-func (p *planner) fill(i int, j *Job, most int) (n int) {
+// are looked through once for a job, not once for a task. warm leaves out machines
+// that do not have the job's image.
+func (p *planner) fill(i int, j *Job, most int, warm bool) (n int) {
 	k, plain := j.kind()
 	if !plain {
 		for n < most && p.teams[j.Team].room(j.Need) {
 			m := p.best(j, -1)
-			if m < 0 {
+			if m < 0 || warm && p.rank(j, m) > 0 {
 				break
 			}
 			p.assign(i, j, m)
@@ -244,7 +261,7 @@
 	}
 	fit := make([]int, 0, len(p.machines))
 	for m := range p.machines {
-		if p.fits(j, m, -1) {
+		if p.fits(j, m, -1) && (!warm || p.rank(j, m) == 0) {
 			fit = append(fit, m)
 		}
 	}
@@ -258,7 +275,9 @@
 			n++
 		}
 	}
-	p.full[k] = n < most // room only shrinks within a pass
+	if !warm {
+		p.full[k] = n < most // room only shrinks within a pass
+	}
 	return n
 }
 
@@ -266,8 +285,8 @@
 	p.machines[m].Free = p.machines[m].Free.Add(j.Need, -1)
 	p.teams[j.Team].use(j.Need, 1)
 	j.InZone[p.machines[m].Zone]++
-	if j.Warm != nil && !j.Warm[m] {
-		j.Warm[m], p.machines[m].Fetch = true, true
+	if j.Image != nil && j.Image[m] == Cold {
+		j.Image[m], p.machines[m].Fetch = Coming, true
 	}
 	p.out.Assign = append(p.out.Assign, Assignment{i, m})
 }
@@ -326,11 +345,12 @@
 // compare tells which of two machines comes first for j: the lowest index, the first
 // of equals.
 //
-// Exception to the design: where j.Warm is given, a machine that has the job's
-// image comes before one that has not, and of those that have not one that fetches
-// none, as fetches share the machine's rate. It is given for images that take longer
-// to fetch than the index remembers; on omaruru-fares a fetch of 20 s kept
-// machines paid and idle and services from their start aim.
+// Exception to the design: where j.Image is given, a machine that has the job's
+// image comes before one that fetches it, that before one that has it yet to fetch,
+// and of those one that fetches nothing else, as fetches share the machine's rate. It
+// is given for images that take longer to fetch than the index remembers; on
+// omaruru-fares a fetch of 20 s kept machines paid and idle and services from their
+// start aim.
 func (p *planner) compare(j *Job, a, b int) int {
 	return cmp.Or(cmp.Compare(p.rank(j, a), p.rank(j, b)), cmp.Compare(p.machines[a].Load, p.machines[b].Load), a-b)
 }
@@ -338,12 +358,14 @@
 // rank tells how soon a machine would have the job's image: 0 the soonest.
 func (p *planner) rank(j *Job, m int) int {
 	switch {
-	case j.Warm == nil || j.Warm[m]:
+	case j.Image == nil || j.Image[m] == Warm:
 		return 0
-	case !p.machines[m].Fetch:
+	case j.Image[m] == Coming:
 		return 1
+	case !p.machines[m].Fetch:
+		return 2
 	}
-	return 2
+	return 3
 }
 
 func (j *Job) avoids(machine int) bool { return j.Avoid != nil && j.Avoid[machine] }
@@ -381,16 +403,17 @@
 // priority on the one machine where that loses the least run time, among those that
 // have the image or will have it soonest: the fetch would cost a service its start
 // aim, and more than the tasks lose. Where the
-// team is at its limit the tasks stopped are its own.
-func (p *planner) preempt(i int, j *Job, n int) {
+// team is at its limit the tasks stopped are its own. warm leaves out machines that do
+// not have the image. It returns for how many tasks room is made.
+func (p *planner) preempt(i int, j *Job, n int, warm bool) (made int) {
 	team := &p.teams[j.Team]
-	for ; n > 0; n-- {
+	for ; made < n; made++ {
 		over := team.over(j.Need)
 		costs := p.costs(j, over)
 		best := -1
 		for k := range p.machines {
 			m := &p.machines[k]
-			if !m.Open || j.avoids(k) || !j.Allows(m) {
+			if !m.Open || j.avoids(k) || !j.Allows(m) || warm && p.rank(j, k) > 0 {
 				continue
 			}
 			v := &costs[k]
@@ -405,7 +428,7 @@
 			}
 		}
 		if best < 0 {
-			return
+			return made
 		}
 		m := &p.machines[best]
 		if !p.own[best] {
@@ -433,6 +456,7 @@
 		team.use(j.Need, 1)
 		j.InZone[m.Zone]++
 	}
+	return made
 }
 
 // costs returns what making room for a task would cost on each machine, as far as
