Halt and return what is cancelled also while it is not sure who leads

Excluded: the time of 0.55 of cancel_s for giving a machine up (it had passed), and the records (the cancellations were read).

A leader that can't tell whether it still leads halts tasks of cancelled jobs, brings its token to machines that it does not hear and returns those stuck with a cancelled task; a cancellation that is recorded needs nobody's leave. Beats carry the jobs lately cancelled, and a node that answers workers without leading halts what it knows to be cancelled.

TestCancelThenOutage, TestCancelWithoutLeader and TestCancelOnUnreachableMachine fail without it.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -184,6 +185,29 @@
 	return resp
 }
 
+// abort cancels a job.
+func (c *cluster) abort(node int, id string) {
+	c.t.Helper()
+	if s := c.ask(node, "POST", "/v1/jobs/"+id+"/abort", nil).Status; s != 200 {
+		c.t.Fatalf("abort: %d", s)
+	}
+}
+
+// cutLeader cuts the leader off from the state service and the other controllers, not
+// from its workers or users, and waits for another one.
+func (c *cluster) cutLeader() (old int) {
+	c.t.Helper()
+	old = c.leader()
+	c.net.Cut(func(from, to string) bool {
+		worker := strings.HasPrefix(from, "10.1.") || strings.HasPrefix(to, "10.1.") || strings.HasPrefix(from, "user")
+		return !worker && (from == nodeAddr(old) || to == nodeAddr(old) || to == peerAddr(old))
+	})
+	c.until("another leader", 10*time.Second, func() bool {
+		return slices.ContainsFunc(c.nodes, func(n *Node) bool { return n != c.nodes[old] && n.lead.Load() != nil })
+	})
+	return old
+}
+
 func submission(id string, shape job.Shape, tasks int, seconds float64) map[string]any {
 	return map[string]any{"uid": id, "lane": "class", "crew": "crew", "shape": string(shape), "rank": "standard",
 		"tickets": tasks, "cpus": 1.0, "gpus": 0.0, "ram_gb": 2.0, "bundle": "img", "image_gb": 1.0,
@@ -415,28 +439,29 @@
 }
 
 // Safety 6: a cancelled task on a machine that cannot be reached is gone within
-// the cancellation time, by returning the machine. So many hang that they are not
-// given up for their silence alone.
+// the cancellation time, by returning the machine, also while the state service is
+// away. So many hang that they are not given up for their silence alone.
 func TestCancelOnUnreachableMachine(t *testing.T) {
-	simulate(t, func(c *cluster) {
-		time.Sleep(2 * time.Second)
-		c.runService(12)
-		for _, w := range c.cloud.Machines() {
-			w.Hang(true)
-		}
-		resp := c.ask(1, "POST", "/v1/jobs/wk-000001/abort", nil)
-		if resp.Status != 200 {
-			t.Fatalf("abort: %d", resp.Status)
-		}
-		c.until("task gone", 51*time.Second, func() bool { return c.referee.On() == 0 })
-		if got := c.status(0, "wk-000001"); got != ledger.Cancelled {
-			t.Errorf("status %s", got)
-		}
-		time.Sleep(time.Minute)
-		if n := c.referee.Starts["wk-000001/0"]; n != 1 {
-			t.Errorf("started %d times", n)
-		}
-	})
+	for name, outage := range map[string]bool{"alone": false, "in an outage": true} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(c *cluster) {
+				time.Sleep(2 * time.Second)
+				c.runService(12)
+				for _, w := range c.cloud.Machines() {
+					w.Hang(true)
+				}
+				c.abort(1, "wk-000001")
+				c.store.Down(outage)
+				c.until("task gone", 51*time.Second, func() bool { return c.referee.On() == 0 })
+				c.store.Down(false)
+				c.until("answered", 5*time.Second, func() bool { return c.status(0, "wk-000001") == ledger.Cancelled })
+				time.Sleep(time.Minute)
+				if n := c.referee.Starts["wk-000001/0"]; n != 1 {
+					t.Errorf("started %d times", n)
+				}
+			})
+		})
+	}
 }
 
 // A leader that the state service alone refuses learns from its peers that it
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -141,6 +141,14 @@
 	return false
 }
 
+// tell runs f on the loop some time if there is room; what it tells comes again.
+func (l *lead) tell(f func()) {
+	select {
+	case l.events <- f:
+	default:
+	}
+}
+
 // post runs f on the loop some time; it waits for room.
 func (l *lead) post(f func()) {
 	select {
@@ -338,8 +346,7 @@
 // readJobs reads jobs that another node says have changed. The watch tells of
 // them too, but its connection may hang without an error.
 func (l *lead) readJobs(ids []string) {
-	select {
-	case l.events <- func() {
+	l.tell(func() {
 		l.spawn(func() {
 			for _, id := range ids {
 				if !job.ValidID(id) {
@@ -352,9 +359,7 @@
 				l.post(func() { l.onJob(it.Value, it.Rev) })
 			}
 		})
-	}:
-	default:
-	}
+	})
 }
 
 func (l *lead) onChange(e *statestore.Event) {
@@ -384,6 +389,17 @@
 	}
 }
 
+// onCancelled takes the word of nodes that jobs are cancelled. The records say so
+// too, but the state service may be away for longer than their tasks may go on.
+func (l *lead) onCancelled(ids []string, now time.Time) {
+	for _, id := range ids {
+		if j := l.book.Cancel(id, now); j != nil {
+			l.replan = true
+			l.sweep(j, now)
+		}
+	}
+}
+
 // sweep stops what is left of a cancelled job: starts that were never sent are
 // taken back, the others are halted.
 func (l *lead) sweep(j *ledger.Job, now time.Time) {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -41,7 +41,8 @@
 	changed   chan string // jobs to tell the leader of
 	lead      atomic.Pointer[lead]
 	harbour   harbour
-	strays    strays
+	strays    recent // machines that have reported here though this node does not lead
+	cancelled recent // jobs of which users were told here that they are cancelled
 }
 
 const reportPath = "/v1/report"
@@ -88,6 +89,10 @@
 			}
 			return nil
 		},
+		Cancelled: func(id string) {
+			n.cancelled.note(id, time.Now())
+			n.onCancelled([]string{id})
+		},
 		Changed: func(id string) {
 			select {
 			case n.changed <- id:
@@ -97,7 +102,8 @@
 	}
 	n.intake.Init(s.State.RPS)
 	n.peers = &peer.Net{Dial: net.Dial, Node: s.Node, Known: n.candidate.Leader, Learned: n.candidate.Learn, Changed: n.onChanged,
-		Strays: n.strayed}
+		Strays: n.strayed, Cancelled: n.onCancelled,
+		OwnCancelled: func() []string { return n.cancelled.within(s.Workers.Cancel, time.Now()) }}
 	for _, p := range s.Peers {
 		n.peers.Others = append(n.peers.Others, peer.Other{Node: p.Node, Addr: p.Addr})
 	}
@@ -174,6 +180,16 @@
 	}
 }
 
+// onCancelled takes the word of a node, maybe this one, that jobs are cancelled.
+func (n *Node) onCancelled(ids []string) {
+	for _, id := range ids {
+		n.intake.Finished(id, ledger.Cancelled)
+	}
+	if l := n.lead.Load(); l != nil && len(ids) > 0 {
+		l.tell(func() { l.onCancelled(ids, time.Now()) })
+	}
+}
+
 // catalogKey holds the machine types as last read, so that a node that starts
 // while the cloud does not serve can still take submissions.
 const catalogKey = "catalog"
@@ -284,7 +300,9 @@
 	if !ok || leader == n.settings.Node || r.Token > term || n.peers.Heard(leader, lodgeUnheard) {
 		return wire.Response{}, false
 	}
-	return wire.Response{Status: 200, Body: wire.Marshal(n.lodger.Answer(r, leader, term))}, true
+	answer := n.lodger.Answer(r, leader, term)
+	answer.Orders = append(answer.Orders, n.halts(r)...)
+	return wire.Response{Status: 200, Body: wire.Marshal(answer)}, true
 }
 
 // isolated tells whether this node can learn from nobody who leads: not from the
@@ -332,37 +350,55 @@
 // not lead: within the time that a worker takes to come back from a node that does not
 // answer.
 func (n *Node) strayed() int {
-	return n.strays.count(n.settings.Workers.Report*3/2+strayRound, time.Now())
+	return len(n.strays.within(n.settings.Workers.Report*3/2+strayRound, time.Now()))
 }
 
 // strayRound is the worker's wait for a response, and the pause behind it.
 const strayRound = 5 * time.Second
 
-// strays remembers the machines that report to a node which does not lead.
-type strays struct {
+// recent remembers names for a while.
+type recent struct {
 	mu   sync.Mutex
 	came map[string]time.Time
 }
 
-func (s *strays) note(machine string, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.came == nil || len(s.came) >= maxHeld {
-		s.came = map[string]time.Time{}
+func (r *recent) note(name string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.came == nil || len(r.came) >= maxHeld {
+		r.came = map[string]time.Time{}
 	}
-	s.came[machine] = now
+	r.came[name] = now
 }
 
-// count returns how many have come within d, and forgets the others.
-func (s *strays) count(d time.Duration, now time.Time) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for machine, at := range s.came {
+// within returns the names that have come within d, and forgets the others.
+func (r *recent) within(d time.Duration, now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	names := make([]string, 0, len(r.came))
+	for name, at := range r.came {
 		if now.Sub(at) >= d {
-			delete(s.came, machine)
+			delete(r.came, name)
+		} else {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// halts returns the commands that end tasks of cancelled jobs on a machine, as far as
+// this node knows of the cancellations: for a worker that it answers without leading.
+// They are right whoever leads, and nobody may in an outage that outlasts the time in
+// which such tasks must be gone.
+func (n *Node) halts(r *fleet.Report) (out []fleet.Order) {
+	now := 0.0
+	for _, t := range r.Tasks {
+		id, _, _ := fleet.SplitTask(t.Task)
+		if t.Status != fleet.Exited && len(out) < maxOrders && n.intake.KnownCancelled(id) {
+			out = append(out, fleet.Order{Verb: "halt", Task: t.Task, Try: t.Try, WindDown: &now})
 		}
 	}
-	return len(s.came)
+	return out
 }
 
 func (n *Node) report(ctx context.Context, body []byte) wire.Response {
@@ -377,7 +413,7 @@
 			return resp
 		}
 		if n.isolated() && n.harbour.takes(&r, n.settings.Workers.Report*3/2, time.Now()) {
-			return wire.Response{Status: 200, Body: wire.Marshal(fleet.Answer{Token: r.Token})}
+			return wire.Response{Status: 200, Body: wire.Marshal(fleet.Answer{Token: r.Token, Orders: n.halts(&r)})}
 		}
 		return n.redirect()
 	}
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -82,6 +82,7 @@
 		}
 		if m := l.take(r, now); m != nil && m.Session == r.Session && m.Tick == r.Tick {
 			m.Via = mail.Node
+			m.Hears() // what goes through the node reaches it
 		}
 	}
 	for i := range mail.Reports {
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -24,18 +24,34 @@
 )
 
 const (
-	refusalPause = 20 * time.Second // a pool that refused is left alone for so long
-	bootPatience = 4                // times the usual boot time, after which a machine is given up
-	bootOverdue  = 1.6              // times the usual boot time, after which it is not counted on
-	maxDeadShare = 3                // one in so many silent machines at once: rather our own network
-	cutMissed    = 10               // reports missed in a row of a zone: it is cut off
-	cutPatience  = 3                // leases for which the machines of a zone that is cut off are kept
-	minPaid      = 55 * time.Second // a machine costs 60 s at least
-	cancelLeeway = 0.55             // share of the cancellation time after which a machine is given up
+	refusalPause = 20 * time.Second             // a pool that refused is left alone for so long
+	bootPatience = 4                            // times the usual boot time, after which a machine is given up
+	bootOverdue  = 1.6                          // times the usual boot time, after which it is not counted on
+	maxDeadShare = 3                            // one in so many silent machines at once: rather our own network
+	cutMissed    = 10                           // reports missed in a row of a zone: it is cut off
+	cutPatience  = 3                            // leases for which the machines of a zone that is cut off are kept
+	deafPatience = lodgeUnheard + 3*time.Second // in a cut late copies of reports look like that until others pass them on
+	minPaid      = 55 * time.Second             // a machine costs 60 s at least
+	cancelLeeway = 0.55                         // share of the cancellation time after which a machine is given up
 )
 
+// stuckCancelled is why a machine is given up that can't be told of a cancellation. It
+// is returned even while it is not sure that this node still leads, as its time runs
+// out: the worst is work lost on it that another leader has sent there.
+const stuckCancelled = "holds a cancelled task that cannot be stopped"
+
+func giveUp(m *fleet.Machine, why string) {
+	m.Retire = why
+	slog.Info("machine given up", "machine", m.Name, "why", why, "tasks", len(m.Holds))
+}
+
 // retire decides which machines are given up for what time has shown.
 func (l *lead) retire(now time.Time) {
+	l.fleet.Each(func(m *fleet.Machine) {
+		if m.Retire != stuckCancelled && l.overdueCancel(m, now) {
+			giveUp(m, stuckCancelled)
+		}
+	})
 	if !l.reign.Valid() || !l.surveyed(now) {
 		return
 	}
@@ -130,14 +146,11 @@
 			why = "taken back"
 		case m.Known && len(m.Holds) == 0 && (m.Type < 0 || m.Zone < 0):
 			why = "of no known type or zone"
-		case !m.DeafSince.IsZero() && now.Sub(m.DeafSince) >= op.Abandon-op.Silent:
+		case !m.DeafSince.IsZero() && now.Sub(m.DeafSince) >= deafPatience:
 			why = "gets no commands"
-		case l.overdueCancel(m, now):
-			why = "holds a cancelled task that cannot be stopped"
 		}
 		if why != "" {
-			m.Retire = why
-			slog.Info("machine given up", "machine", m.Name, "why", why, "tasks", len(m.Holds))
+			giveUp(m, why)
 		}
 	})
 }
@@ -289,8 +302,7 @@
 			heard = m.Heard
 		}
 		if !in[m.Name] && m.Retire == "" && asked.Sub(heard) > lag && asked.Sub(m.Created) > lag {
-			m.Retire = "no longer listed"
-			slog.Info("machine given up", "machine", m.Name, "why", m.Retire, "tasks", len(m.Holds))
+			giveUp(m, "no longer listed")
 		}
 	})
 }
@@ -298,7 +310,7 @@
 // decide returns the machines to return and the rentals to ask for.
 func (l *lead) decide(now time.Time) (names []string, asks []cloud.Rental) {
 	if !l.loaded || !l.reign.Valid() || !l.surveyed(now) {
-		return nil, nil
+		return l.givenUp(func(m *fleet.Machine) bool { return m.Retire == stuckCancelled }), nil
 	}
 	l.reprice(*l.n.types.Load())
 	var ms []*fleet.Machine
@@ -334,15 +346,9 @@
 	d := rental.Plan(demand, machines, pools, l.n.operator.IdleReturn)
 	l.logFleet(now, d)
 	for _, i := range d.Return {
-		m := ms[i]
-		m.Retire = "idle"
-		slog.Info("machine given up", "machine", m.Name, "why", "idle", "tasks", 0)
+		giveUp(ms[i], "idle")
 	}
-	l.fleet.Each(func(m *fleet.Machine) {
-		if m.Retire != "" && len(names) < cloud.MaxReturn {
-			names = append(names, m.Name)
-		}
-	})
+	names = l.givenUp(func(m *fleet.Machine) bool { return m.Retire != "" })
 	if len(l.renting) > 0 {
 		return names, nil // what is asked for is not in the list of machines yet
 	}
@@ -356,6 +362,16 @@
 	return names, asks
 }
 
+// givenUp returns the names of machines to return, as many as one request takes.
+func (l *lead) givenUp(which func(*fleet.Machine) bool) (names []string) {
+	l.fleet.Each(func(m *fleet.Machine) {
+		if which(m) && len(names) < cloud.MaxReturn {
+			names = append(names, m.Name)
+		}
+	})
+	return names
+}
+
 // memoKey holds the leader's estimates for the next one, which would otherwise
 // take all unfinished jobs for what arrives in a moment and rent for that, and
 // then forget what usually comes (apart of kapana-orders-grown: 110 machines too
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -33,15 +33,28 @@
 	if m == nil {
 		return wire.Response{Status: 503, RetryAfter: 1}
 	}
-	m.Via = ""
-	m.Answered(term, l.n.settings.Workers.Lease, now)
 	answer := fleet.Answer{Token: term}
-	if r.Session == m.Session && r.Tick == m.Tick && l.reign.Valid() {
-		answer.Orders = m.Orders(term, maxOrders, l.settled, now)
+	// A late copy says nothing of the way that newer reports take.
+	if r.Session == m.Session && r.Tick == m.Tick {
+		m.Via = ""
+		m.Answered(term, l.n.settings.Workers.Lease, now)
+		answer.Orders = l.orders(m, now)
 	}
 	return wire.Response{Status: 200, Body: wire.Marshal(answer)}
 }
 
+// orders returns the commands for a machine. While it is not sure that this node still
+// leads, they end what is left of cancelled jobs and do nothing else.
+//
+// It guards against an outage of the state service, or a cut from it, that outlasts the
+// time in which a cancelled task must be gone (ran_cancelled on days of our own).
+func (l *lead) orders(m *fleet.Machine, now time.Time) []fleet.Order {
+	if !l.reign.Valid() {
+		return m.Halts(maxOrders)
+	}
+	return m.Orders(l.reign.Term(), maxOrders, l.settled, now)
+}
+
 // take learns from a report, or from the answer to a direct command.
 func (l *lead) take(r *fleet.Report, now time.Time) *fleet.Machine {
 	if l.fleet.Add(r.Machine, now) == nil {
@@ -173,14 +186,11 @@
 
 // push sends urgent commands directly, one request a machine at a time.
 func (l *lead) push(now time.Time) {
-	if !l.reign.Valid() {
-		return
-	}
 	l.fleet.Each(func(m *fleet.Machine) {
 		if !m.Urgent() || now.Sub(m.Heard) >= l.n.operator.Silent || l.pushing >= l.n.settings.Resources.MaxSockets/pushShare {
 			return // its turn comes when others are done, or with its next report
 		}
-		orders := m.Orders(l.reign.Term(), maxOrders, l.settled, now)
+		orders := l.orders(m, now)
 		if len(orders) == 0 {
 			return
 		}
@@ -210,6 +220,10 @@
 	if m.Gone || r.Machine != m.Name {
 		return
 	}
+	if r.Token > l.reign.Term() {
+		l.spawn(func() { l.n.candidate.Outranked(l.ctx, r.Token) })
+		return
+	}
 	m.Hears()
 	l.heed(m, r)
 }
@@ -234,9 +248,6 @@
 // does not answer is given up sooner: of a hundred that hang or die together each second
 // counts for what was on them (zone and loss of both fleet deployments).
 func (l *lead) reachOut(now time.Time) {
-	if !l.reign.Valid() {
-		return
-	}
 	quiet := l.n.settings.Workers.Report * 3 / 2
 	l.fleet.Each(func(m *fleet.Machine) {
 		since := l.started
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -10,6 +10,7 @@
 
 	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/job"
+	"tulipshelf/internal/ledger"
 	"tulipshelf/internal/standin"
 	"tulipshelf/internal/wire"
 )
@@ -171,14 +172,7 @@
 	simulate(t, func(c *cluster) {
 		time.Sleep(2 * time.Second)
 		c.runService(8)
-		old := c.leader()
-		c.net.Cut(func(from, to string) bool {
-			worker := len(from) > 5 && from[:5] == "10.1." || len(to) > 5 && to[:5] == "10.1."
-			return !worker && (from == nodeAddr(old) || to == nodeAddr(old) || to == peerAddr(old))
-		})
-		c.until("another leader", 10*time.Second, func() bool {
-			return slices.ContainsFunc(c.nodes, func(n *Node) bool { return n != c.nodes[old] && n.lead.Load() != nil })
-		})
+		old := c.cutLeader()
 		c.until("old leader stands down", 20*time.Second, func() bool { return c.nodes[old].lead.Load() == nil })
 		c.until("workers follow", 20*time.Second, func() bool {
 			l := c.nodes[c.leader()].lead.Load()
@@ -196,6 +190,44 @@
 	})
 }
 
+// A leader is cut off from the state service and its peers, while workers still come to
+// it; a job is cancelled through the new one, and then the state service is away for
+// longer than a cancelled task may last. The new leader halts it all the same: a
+// cancellation that is recorded needs nobody's leave (days of our own: ran_cancelled).
+func TestCancelThenOutage(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.runService(8)
+		old := c.cutLeader()
+		time.Sleep(time.Second)
+		c.abort((old+1)%3, "wk-000001")
+		c.store.Down(true)
+		c.until("cancelled tasks gone", 51*time.Second, func() bool { return c.referee.On() == 0 })
+		c.net.Cut(nil)
+		c.store.Down(false)
+		c.accept(20*time.Second, 0, submission("wk-000002", job.Array, 2, 5))
+		c.until("array done", time.Minute, c.done("wk-000002"))
+		c.startedOnce()
+	})
+}
+
+// A job is cancelled while nobody leads, and in the outage that follows nobody can be
+// elected: the nodes that its workers come to halt what they know to be cancelled.
+func TestCancelWithoutLeader(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.runService(8)
+		old := c.leader()
+		c.kill(old)
+		c.abort((old+1)%3, "wk-000001")
+		c.store.Down(true)
+		c.until("cancelled tasks gone", 51*time.Second, func() bool { return c.referee.On() == 0 })
+		c.start(old)
+		c.store.Down(false)
+		c.until("answered", 15*time.Second, func() bool { return c.status(old, "wk-000001") == ledger.Cancelled })
+	})
+}
+
 // A report with a token that was never given out deposes nobody.
 func TestTokenNeverGivenOut(t *testing.T) {
 	simulate(t, func(c *cluster) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -460,6 +460,20 @@
 	return out
 }
 
+// Halts returns the commands that end what is left of cancelled jobs, at most limit.
+// They are right whoever leads by now: a job that is cancelled stays so.
+func (m *Machine) Halts(limit int) (out []Order) {
+	for _, h := range m.Sorted() {
+		if h.Job.Cancelled && h.Stopping && len(out) < limit {
+			out = append(out, Order{"halt", h.Name(), h.Try, &h.WindDown})
+		}
+	}
+	if out != nil {
+		m.urgent = false
+	}
+	return out
+}
+
 // Newest returns the newest report, but for its type, zone and notice.
 func (m *Machine) Newest() Report {
 	r := Report{Machine: m.Name, Addr: m.Addr, Spot: m.Spot, Session: m.Session, Tick: m.Tick, Token: m.Token}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -26,6 +26,7 @@
 	ChunkSize int
 	Types     func() []cloud.Type // nil while the catalog is unknown
 	Changed   func(id string)     // a job was submitted or cancelled here
+	Cancelled func(id string)     // it was cancelled, durably
 
 	replica *replica
 
@@ -276,7 +277,8 @@
 		switch {
 		case err == nil:
 			in.Finished(id, ledger.Cancelled)
-			in.Changed(id)
+			in.Cancelled(id)
+			in.Changed(id) // the leader needs the revision of the record too
 			return answer(ledger.Cancelled)
 		case errors.As(err, &conflict), errors.Is(err, statestore.ErrUnknown):
 			continue // read back what stands
@@ -286,6 +288,12 @@
 	return later()
 }
 
+// KnownCancelled tells whether a job is known here to be cancelled, durably.
+func (in *Intake) KnownCancelled(id string) bool {
+	s, _ := in.cached(id)
+	return s == ledger.Cancelled
+}
+
 func (in *Intake) cached(id string) (string, bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -257,6 +257,19 @@
 	return j, fresh || newlyCancelled, nil
 }
 
+// Cancel takes the word of another node that a job is cancelled, durably, and returns
+// the job if that is news. The revision of its record is learnt later: until then what is
+// written of the job meets a conflict.
+func (b *Book) Cancel(id string, now time.Time) *Job {
+	j := b.jobs[id]
+	if j == nil || j.Cancelled {
+		return nil
+	}
+	j.Cancelled, j.CancelledAt = true, now
+	b.checkEnd(j)
+	return j
+}
+
 // PutChunk takes a chunk's value as a new leader reads it.
 func (b *Book) PutChunk(id string, n int, value []byte, rev uint64) error {
 	j := b.jobs[id]
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,7 +1,7 @@
 // Package peer is what the controllers of one service tell each other, in
-// protobuf over HTTP: who leads, and which jobs have changed. Nothing depends
-// on it for safety; it makes learning faster, and it tells a leader that is cut
-// off from the state service alone that another one has been elected.
+// protobuf over HTTP: who leads, and which jobs have changed or are cancelled. It makes
+// learning faster, and it tells a leader that is cut off from the state service alone
+// that another one has been elected, or that jobs are cancelled.
 package peer
 
 //go:generate sh -c "protoc --plugin=protoc-gen-go=$(go tool -n protoc-gen-go) --go_out=. --go_opt=paths=source_relative peer.proto"
@@ -40,6 +40,9 @@
 	Changed func(jobs []string)                 // jobs changed elsewhere
 	Strays  func() int                          // machines that came to this node, which does not lead
 
+	OwnCancelled func() []string     // jobs lately cancelled here
+	Cancelled    func(jobs []string) // and elsewhere
+
 	mu      sync.Mutex
 	began   time.Time
 	clients map[string]*wire.Client
@@ -110,7 +113,7 @@
 
 func (n *Net) own() []byte {
 	leader, term := n.Known()
-	return marshal(&Beat{Node: n.Node, Term: term, Leader: leader, Strays: uint32(n.Strays())})
+	return marshal(&Beat{Node: n.Node, Term: term, Leader: leader, Strays: uint32(n.Strays()), Cancelled: n.OwnCancelled()})
 }
 
 func marshal(m proto.Message) []byte {
@@ -172,13 +175,15 @@
 	}
 }
 
-// take learns who leads; a late copy names a lower term.
+// take learns who leads and what is cancelled; a late copy names a lower term, and what
+// is cancelled stays so.
 func (n *Net) take(body []byte) (*Beat, bool) {
 	var b Beat
 	if err := proto.Unmarshal(body, &b); err != nil || b.Node == "" {
 		return nil, false
 	}
 	n.Learned(b.Leader, b.Term)
+	n.Cancelled(b.Cancelled)
 	return &b, true
 }
 
