Write starts in turn, and keep those not yet written through a new term

Their starts waited to be written behind those of an array of 25,000 tasks, which came earlier and changes all the time; every 10 s the leader took a new term, so that workers may forget exited tasks, and what was not written under the old one was given up after 10 to 40 s and placed anew, to wait again.

Excluded: the machines (others placed there at the same time ran), the halts and the image.

Starts of one priority are written in the order in which they have waited; those that no batch has recorded when a term is raised get numbers of the new one.

TestWritesTakeTurns, TestRenumber.

--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -161,6 +161,11 @@
 		} else {
 			slog.Info("term raised", "term", l.reign.Term())
 		}
-		l.post(func() { l.writing = false })
+		l.post(func() {
+			l.writing = false
+			l.book.Renumber(l.reign.Term(), func(a *ledger.Attempt, was uint64) {
+				l.machine(a.Machine, time.Now()).Renumber(a, was)
+			})
+		})
 	})
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -220,6 +220,16 @@
 	m.Version++
 }
 
+// Renumber books an attempt that was never sent under its new number.
+func (m *Machine) Renumber(a *ledger.Attempt, was uint64) {
+	old := key{a.Name(), was}
+	if h := m.Holds[old]; h != nil {
+		delete(m.Holds, old)
+		m.Holds[key{a.Name(), a.Try}] = h
+		m.Version++
+	}
+}
+
 // HoldOf returns the hold of an attempt, or nil.
 func (m *Machine) HoldOf(a *ledger.Attempt) *Hold { return m.Holds[key{a.Name(), a.Try}] }
 
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -92,6 +92,12 @@
 		if a.key != b.key {
 			return a.key > b.key
 		}
+		// Whichever has waited longest to be written, or the chunks of a large array that
+		// change all the time would go before all jobs that came after it (245 small jobs
+		// of inc-bc39 were not written for 100 s).
+		if a.c != nil && b.c != nil && !a.c.since.Equal(b.c.since) {
+			return a.c.since.Before(b.c.since)
+		}
 		if a.j.Arrival != b.j.Arrival {
 			return a.j.Arrival < b.j.Arrival
 		}
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -337,6 +337,27 @@
 	return a
 }
 
+// Renumber gives attempts that are not yet recorded, and so were never sent, numbers of
+// a new term, and tells of each with the number it had. It guards against starts that
+// wait to be written when the leader takes a new term: under their old numbers they
+// would never be sent, and hold room until that is known (inc-bc39).
+func (b *Book) Renumber(term uint64, told func(a *Attempt, was uint64)) {
+	for j := range b.dirty {
+		tries := map[uint64]uint64{} // the tasks of a gang share one
+		for _, a := range j.live {
+			if a.Recorded {
+				continue
+			}
+			was := a.Try
+			if tries[was] == 0 {
+				tries[was] = b.NextTry(term)
+			}
+			a.Try = tries[was]
+			told(a, was)
+		}
+	}
+}
+
 // End takes an attempt that is proven gone: done, or its task waits again.
 func (b *Book) End(a *Attempt, done bool, now time.Time) {
 	j := a.Job
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -236,6 +236,46 @@
 	}
 }
 
+// What has waited longest is written first: a large array of which something changes all
+// the time does not go before the jobs that came after it.
+func TestWritesTakeTurns(t *testing.T) {
+	b := NewBook()
+	large, small := put(t, b, "wk-000001", 100, false, 10), put(t, b, "wk-000002", 1, false, 11)
+	for i := range 4 {
+		b.Start(large, i, b.NextTry(1), "vm-1", 1, t0)
+	}
+	b.Start(small, 0, b.NextTry(1), "vm-1", 1, t0.Add(time.Second))
+	for i := range 4 {
+		b.Start(large, 4+4*i, b.NextTry(1), "vm-1", 1, t0.Add(2*time.Second))
+	}
+	for i, want := range []string{"job/wk-000001/000000", "job/wk-000002/000000", "job/wk-000001/000001"} {
+		bt := b.NextBatch(fence, 1, 1, t0.Add(2*time.Second))
+		if bt == nil || bt.Ops[0].Put != want {
+			t.Fatalf("write %d: %+v, want %s", i, bt, want)
+		}
+		b.Committed(bt, uint64(20+i))
+	}
+}
+
+// Starts that wait to be written when a new term is taken are sent under it; those that
+// are recorded keep their numbers, as they may have been sent.
+func TestRenumber(t *testing.T) {
+	b := NewBook()
+	j := put(t, b, "wk-000001", 4, false, 10)
+	recorded := start(t, b, j, 0, 11)
+	try := b.NextTry(1)
+	one, two := b.Start(j, 1, try, "vm-1", 1, t0), b.Start(j, 2, try, "vm-2", 1, t0)
+	told := 0
+	b.Renumber(5, func(a *Attempt, was uint64) {
+		if told++; was != try {
+			t.Errorf("number was %d, told %d", was, try)
+		}
+	})
+	if told != 2 || TryTerm(one.Try) != 5 || one.Try != two.Try || TryTerm(recorded.Try) != 1 {
+		t.Errorf("%d told: %d, %d, recorded %d", told, one.Try, two.Try, recorded.Try)
+	}
+}
+
 // A read of a job that is answered after the watch has told of its end, and before
 // the end's own write is answered, leaves nothing to be written.
 func TestStaleReadOfAnEndedJob(t *testing.T) {
