Size machines for arrays by CPUs in place of tasks

Excluded: refusals and the boots (machines came up as asked).

Run time, backlog and usual load are counted in CPU seconds now. With it goes a debug line of what waits to be written (starts, chunks, ends).

TestSmallTasksRentLittle fails without it.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -580,6 +580,21 @@
 	})
 }
 
+// Machines are rented for the CPUs of arrays, not for the number of their tasks.
+func TestSmallTasksRentLittle(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.large()
+		tiny := submission("wk-000001", job.Array, 64, 20)
+		tiny["cpus"], tiny["ram_gb"] = 0.25, 0.5
+		c.submit(0, tiny)
+		c.until("array done", 2*time.Minute, c.done("wk-000001"))
+		if n := len(c.cloud.Machines()) + len(c.cloud.Returned()); n > 4 {
+			t.Errorf("%d machines of 4 CPUs rented for 16", n)
+		}
+		c.startedOnce()
+	})
+}
+
 // A new leader that has rented machines goes on renting while they boot.
 func TestRentsWhileBooting(t *testing.T) {
 	simulate(t, func(c *cluster) {
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -447,6 +447,8 @@
 		}
 	})
 	l.book.Jobs(func(j *ledger.Job) { waiting += j.WaitingTasks() })
+	starts, chunks, ends := l.book.Backlog()
+	slog.Debug("unwritten", "starts", starts, "chunks", chunks, "ends", ends)
 	slog.Debug("fleet", "machines", all, "spot", spot, "up", up, "empty", empty, "cpus", cpus, "free", free, "waiting", waiting, "rent", d.Rent, "return", len(d.Return))
 }
 
@@ -518,24 +520,24 @@
 	for _, d := range out {
 		taken += float64(d.Tasks) * d.Need[placement.CPU]
 	}
-	need, usual := l.arrayTasks(taken, used, now)
-	turns := need
-	why = fmt.Sprintf("%d tasks without room, %d more of arrays to run at once, room for %d of services to come",
-		l.without, max(0, turns), reserved)
+	turns, usual := l.arrayCPUs(taken, used, now)
+	why = fmt.Sprintf("%d tasks without room, %.0f CPUs more for arrays, room for %d of services to come",
+		l.without, math.Max(0, turns), reserved)
 	for _, j := range arrays {
 		if turns <= 0 {
 			break
 		}
-		n := add(j, min(j.WaitingTasks(), turns))
-		turns -= n
-		usual -= n
+		each := size(l.jobs[j].need)
+		n := float64(add(j, min(j.WaitingTasks(), int(math.Ceil(turns/each)))))
+		turns -= n * each
+		usual -= n * each
 	}
 	// Room kept for arrays to come, of the kind of the last one. What waits beyond
 	// its team's limit asks for none (omaruru-fares-grown: a quarter of all machines
 	// stood free for tasks that were not allowed to start).
 	if usual > 0 && l.lastArray != nil {
 		st := l.lastArray
-		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: -1, Spot: true, Tasks: usual})
+		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: -1, Spot: true, Tasks: int(usual/size(st.need) + 0.5)})
 	}
 	return out, why
 }
@@ -549,11 +551,21 @@
 	return max(n, 0)
 }
 
-// arrayTasks returns how many tasks of arrays should run at once, beside those
-// that do, if taken CPUs of what is free will go to others: of those that wait,
-// and of those that usually come.
-func (l *lead) arrayTasks(taken float64, teams []placement.Team, now time.Time) (need, usual int) {
-	live, boot := 0, 0.0
+// size returns what a task counts in the sizing for arrays: its CPUs.
+func size(need placement.Amounts) float64 {
+	if need[placement.CPU] > 0 {
+		return need[placement.CPU]
+	}
+	return 1
+}
+
+// arrayCPUs returns how many more CPUs tasks of arrays should have, if taken CPUs of what
+// is free will go to others: for those that wait, and for those that usually come.
+//
+// It counts CPUs, not tasks: taken for one of a CPU, each of 25,000 tasks of 0.25 CPU
+// rented four times the machines (visitors of kapana-orders-ops).
+func (l *lead) arrayCPUs(taken float64, teams []placement.Team, now time.Time) (need, usual float64) {
+	live, boot := 0.0, 0.0
 	var works []rental.Work
 	room := make([]float64, len(teams))
 	for i := range teams {
@@ -566,14 +578,15 @@
 		if j.Spec.Shape != job.Array || j.Cancelled || l.jobs[j].team < 0 {
 			return
 		}
-		live += j.LiveTasks()
+		each := size(l.jobs[j].need)
+		at := float64(j.LiveTasks()) * each
+		live += at
 		run := l.expect(j) + l.fetchSeconds(j)
-		waits := float64(j.WaitingTasks())
-		works = append(works, rental.Work{Due: l.dueIn(j, now).Seconds(), Run: run,
-			Seconds: run * (waits + float64(j.LiveTasks())/2)})
+		waits := float64(j.WaitingTasks()) * each
+		works = append(works, rental.Work{Due: l.dueIn(j, now).Seconds(), Run: run, Seconds: run * (waits + at/2)})
 		if t := l.jobs[j].team; j.Spec.CPUs > 0 {
-			may := math.Min(waits, math.Max(0, room[t]/j.Spec.CPUs))
-			room[t] -= may * j.Spec.CPUs
+			may := math.Min(waits, math.Max(0, room[t]))
+			room[t] -= may
 			works[len(works)-1].Waits = run * may
 		}
 	})
@@ -584,12 +597,12 @@
 			free += v.Free[placement.CPU]
 		}
 	})
-	slots := live + int(math.Max(0, free-taken)+1e-6) // tasks of one CPU: about what it takes
-	rate := l.offered.Rate(now)
-	need, usual = rental.Slots(works, slots, boot), int(rate+0.5)
-	drain := rental.Drain(works, slots, rate, boot)
-	slog.Debug("arrays sized", "need", need, "usual", usual, "drain", drain, "live", live, "slots", slots, "taken", taken)
-	return max(need, usual, drain) - live, usual - live
+	cpus := live + math.Max(0, free-taken)
+	usual = l.offered.Rate(now)
+	slots := rental.Slots(works, cpus, boot)
+	drain := rental.Drain(works, cpus, usual, boot)
+	slog.Debug("arrays sized", "need", slots, "usual", usual, "drain", drain, "live", live, "cpus", cpus, "taken", taken)
+	return math.Max(math.Max(slots, usual), drain) - live, usual - live
 }
 
 // fetchSeconds is about how long a machine takes to fetch a job's image.
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -172,6 +172,28 @@
 	out.ends = append(out.ends, w)
 }
 
+// Backlog returns how many starts wait to be written and in how many chunks, and how
+// many ends of jobs do.
+func (b *Book) Backlog() (starts, chunks, ends int) {
+	for j := range b.dirty {
+		if j.over() {
+			ends++
+			continue
+		}
+		for _, c := range j.chunks {
+			if c.dirty && c.starts {
+				chunks++
+			}
+		}
+		for _, a := range j.live {
+			if !a.Recorded {
+				starts++
+			}
+		}
+	}
+	return starts, chunks, ends
+}
+
 // Committed takes the news that the batch was applied at rev. It returns the
 // attempts that may now be sent and the jobs that have ended.
 func (b *Book) Committed(bt *Batch, rev uint64) (starts []*Attempt, ended []*Job) {
