--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -580,16 +580,21 @@
 	})
 }
 
-// Machines are rented for the CPUs of arrays, not for the number of their tasks.
+// Arrays of tiny tasks do not have machines rented for their number, to which those of
+// larger tasks would then be entitled.
 func TestSmallTasksRentLittle(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.large()
-		tiny := submission("wk-000001", job.Array, 64, 20)
+		c.cloud.Capacity, c.limit = 60, 1000
+		c.restartAll()
+		time.Sleep(2 * time.Second)
+		tiny := submission("wk-000002", job.Array, 800, 20)
 		tiny["cpus"], tiny["ram_gb"] = 0.25, 0.5
+		c.submit(0, submission("wk-000001", job.Array, 150, 20))
 		c.submit(0, tiny)
-		c.until("array done", 2*time.Minute, c.done("wk-000001"))
-		if n := len(c.cloud.Machines()) + len(c.cloud.Returned()); n > 4 {
-			t.Errorf("%d machines of 4 CPUs rented for 16", n)
+		c.until("tiny tasks done", 3*time.Minute, c.done("wk-000002"))
+		c.until("array done", 3*time.Minute, c.done("wk-000001"))
+		if n := len(c.cloud.Machines()) + len(c.cloud.Returned()); n > 52 {
+			t.Errorf("%d machines of 4 CPUs rented", n)
 		}
 		c.startedOnce()
 	})
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -562,8 +562,8 @@
 // arrayCPUs returns how many more CPUs tasks of arrays should have, if taken CPUs of what
 // is free will go to others: for those that wait, and for those that usually come.
 //
-// It counts CPUs, not tasks: taken for one of a CPU, each of 25,000 tasks of 0.25 CPU
-// rented four times the machines (visitors of kapana-orders-ops).
+// It counts CPUs, not tasks: what many tiny tasks wait for would be rented in CPUs as soon
+// as those of another array stand in the line before them (TestSmallTasksRentLittle).
 func (l *lead) arrayCPUs(taken float64, teams []placement.Team, now time.Time) (need, usual float64) {
 	live, boot := 0.0, 0.0
 	var works []rental.Work
