Stay ready in an outage of the state service

All nodes said that they were not ready while the state service was away; with each removal within two minutes the load balancer waits twice as long before it tries a node again, up to a minute, and a request that finds no node is not answered at all.

Beats say whether the state service serves a node. One that is not served while others say the same of themselves stays ready: it answers 503 with the time to come back at once, and what it knows to be done or cancelled. One that alone is refused is not ready.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -426,6 +426,11 @@
 			t.Errorf("poll in an outage: %s", got)
 		}
 		time.Sleep(40 * time.Second) // longer than the workers' lease
+		for i := range 3 {
+			if got := c.ask(i, "GET", "/ready", nil).Status; got != 200 {
+				t.Errorf("node %d is not ready in an outage: %d", i, got)
+			}
+		}
 		if c.referee.On() != 2 {
 			t.Errorf("%d of 2 replicas left", c.referee.On())
 		}
@@ -486,6 +491,9 @@
 		if got := c.status(old, "wk-000001"); got != "503" {
 			t.Errorf("poll on the node cut off: %s, want 503", got)
 		}
+		if got := c.ask(old, "GET", "/ready", nil).Status; got != 503 {
+			t.Errorf("ready on the node cut off: %d, want 503", got)
+		}
 		c.net.Cut(nil)
 		if n := c.referee.Starts["wk-000001/0"]; n != 1 || c.referee.On() != 2 {
 			t.Errorf("started %d times, %d on", n, c.referee.On())
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -103,7 +103,7 @@
 	}
 	n.intake.Init(s.State.RPS)
 	n.peers = &peer.Net{Dial: net.Dial, Node: s.Node, Known: n.candidate.Leader, Learned: n.candidate.Learn, Changed: n.onChanged,
-		Strays: n.strayed, Cancelled: n.onCancelled,
+		Strays: n.strayed, Cancelled: n.onCancelled, Served: func() bool { return n.store.Served(readyServed) },
 		OwnCancelled: func() []string { return n.cancelled.within(s.Workers.Cancel, time.Now()) }}
 	for _, p := range s.Peers {
 		n.peers.Others = append(n.peers.Others, peer.Other{Node: p.Node, Addr: p.Addr})
@@ -259,7 +259,7 @@
 		if req.Method != "GET" {
 			return wire.Response{Status: 405}
 		}
-		if n.types.Load() == nil || !n.store.Served(4*time.Second) {
+		if !n.ready() {
 			return wire.Response{Status: 503, RetryAfter: 1}
 		}
 		return wire.Response{Status: 200}
@@ -274,6 +274,24 @@
 	return wire.Response{Status: 404}
 }
 
+// Times of readiness: for how long the state service may not have served this node, and
+// how recently another must have said that it is not served either.
+const (
+	readyServed = 4 * time.Second
+	readyHeard  = 3 * time.Second
+)
+
+// ready tells whether users had better come to this node. In an outage of the state
+// service they had: it tells them at once when to come back, and knows what is done or
+// cancelled. A node that alone is refused sends them to the others.
+//
+// It guards against users who find no node for up to a minute after an outage: with each
+// removal within two minutes the load balancer waits twice as long before it tries a node
+// again (days of our own with several outages: up to 50,000 questions found no node).
+func (n *Node) ready() bool {
+	return n.types.Load() != nil && (n.store.Served(readyServed) || n.peers.NobodyServed(readyHeard))
+}
+
 // redirect sends a worker to the leader, if another node is known to lead.
 func (n *Node) redirect() wire.Response {
 	leader, _ := n.candidate.Leader()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -40,6 +40,7 @@
 	Changed func(jobs []string)                 // jobs changed elsewhere
 	Strays  func() int                          // machines that came to this node, which does not lead
 
+	Served       func() bool         // whether the state service serves this node
 	OwnCancelled func() []string     // jobs lately cancelled here
 	Cancelled    func(jobs []string) // and elsewhere
 
@@ -49,6 +50,7 @@
 	heard   map[string]time.Time
 	leading map[string]time.Time // when a node last said that it leads itself
 	strays  map[string]int       // machines that came to a node which does not lead
+	served  map[string]bool      // whether the state service served a node when last heard
 }
 
 const (
@@ -111,9 +113,26 @@
 	return most
 }
 
+// NobodyServed tells whether others were heard within d and none of them is served by
+// the state service.
+func (n *Net) NobodyServed(d time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	nobody := false
+	for node, at := range n.heard {
+		if time.Since(at) < d {
+			if n.served[node] {
+				return false
+			}
+			nobody = true
+		}
+	}
+	return nobody
+}
+
 func (n *Net) own() []byte {
 	leader, term := n.Known()
-	return marshal(&Beat{Node: n.Node, Term: term, Leader: leader, Strays: uint32(n.Strays()), Cancelled: n.OwnCancelled()})
+	return marshal(&Beat{Node: n.Node, Term: term, Leader: leader, Strays: uint32(n.Strays()), Cancelled: n.OwnCancelled(), Served: n.Served()})
 }
 
 func marshal(m proto.Message) []byte {
@@ -166,10 +185,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.heard == nil {
-		n.heard, n.leading, n.strays = map[string]time.Time{}, map[string]time.Time{}, map[string]int{}
+		n.heard, n.leading, n.strays, n.served = map[string]time.Time{}, map[string]time.Time{}, map[string]int{}, map[string]bool{}
 	}
 	n.heard[b.Node] = time.Now()
-	n.strays[b.Node] = int(b.Strays)
+	n.strays[b.Node], n.served[b.Node] = int(b.Strays), b.Served
 	if b.Leader == b.Node {
 		n.leading[b.Node] = time.Now()
 	}
