Try jobs that fail on every machine one task at a time

Cause (operations of both ops deployments, log): a menu-sync submitted with a mistake was tried with all of its tasks again each minute, 283 starts and errors; all of them counted as waiting when machines were sized, and in their team's guarantee before good jobs. A new leader began anew.

After four failures with none done in between one task at a time is tried, after a pause that grows from 2 s to a minute; one task counts as waiting; such jobs come behind the good ones of their team; and the estimates that a leader keeps for the next name them. A machine held to be faulty on the word of such a job is cleared.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -62,8 +62,9 @@
 	astray     time.Time   // since when machines go to another node; zero: they do not
 	offered    rental.Offered
 	learned    rental.Learned
-	recalled   time.Time // up to when an earlier leader's estimates reach
-	memoAt     time.Time // when the estimates were last kept
+	recalled   time.Time       // up to when an earlier leader's estimates reach
+	failed     map[string]bool // jobs that failed on every machine under it
+	memoAt     time.Time       // when the estimates were last kept
 	lastArray  *jobState
 	rentSeq    int
 	relays     map[string]*relayed // by node
@@ -110,7 +111,7 @@
 		book: ledger.NewBook(), fleet: fleet.New(),
 		machines: map[*fleet.Machine]*machineState{}, jobs: map[*ledger.Job]*jobState{},
 		pushers: map[string]*wire.Client{},
-		blocked: map[pool]time.Time{}, renting: map[string]string{}, relays: map[string]*relayed{},
+		blocked: map[pool]time.Time{}, renting: map[string]string{}, failed: map[string]bool{}, relays: map[string]*relayed{},
 		offered: rental.Offered{Memory: 150 * time.Second},
 		started: time.Now(), firstTerm: r.Term(),
 	}
@@ -305,6 +306,9 @@
 			st.zone = z
 		}
 	}
+	if l.failed[s.ID] {
+		st.errors, st.backoff = jobErrors, minBackoff
+	}
 	st.types = make([]bool, len(l.types))
 	for i := range l.types {
 		st.types[i] = intake.Allows(s, &l.types[i])
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -184,7 +184,7 @@
 		st := l.jobs[j]
 		s := j.Spec
 		jobs[i] = placement.Job{Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
-			Waiting: j.WaitingTasks(), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
+			Waiting: l.wanted(j), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
 			Urgent: s.Shape == job.Service, Displace: l.displaces(j, now) && !beyond[j], Overdue: now.Sub(j.At) > beginBy && j.LiveTasks() == 0 && j.DoneTasks() == 0, Avoid: l.avoid(st)}
 		jobs[i].Image, jobs[i].Costly = l.images(j, images)
@@ -205,6 +205,10 @@
 		}
 		h := m.Hold(l.book.Start(j, task, tries[a.Job], m.Name, m.Session, now), now)
 		m.Images.Use(j.Spec.Image, j.Spec.ImageGB, l.types[m.Type].Disk, now)
+		if st := l.jobs[j]; st.failing() {
+			st.notBefore = now.Add(st.backoff)
+			st.backoff = min(2*st.backoff, maxBackoff)
+		}
 		slog.Debug("attempt placed", "task", h.Name(), "try", h.Try, "machine", m.Name)
 	}
 	for _, s := range plan.Stops {
@@ -269,7 +273,13 @@
 			jobs = append(jobs, j)
 		}
 	})
-	sort.Slice(jobs, func(x, y int) bool { return jobs[x].Arrival < jobs[y].Arrival })
+	// What fails on every machine takes nothing of the guarantee from the good jobs.
+	sort.Slice(jobs, func(x, y int) bool {
+		if a, b := l.jobs[jobs[x]].failing(), l.jobs[jobs[y]].failing(); a != b {
+			return b
+		}
+		return jobs[x].Arrival < jobs[y].Arrival
+	})
 	teams := l.n.settings.Teams
 	cpus, gpus := make([]float64, len(teams)), make([]float64, len(teams))
 	out := make(map[*ledger.Job]bool)
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -383,16 +383,30 @@
 // then forget what usually comes (apart of kapana-orders-grown: 110 machines too
 // many after an election).
 const (
-	memoKey   = "rental/memo"
-	memoEvery = 10 * time.Second
+	memoKey    = "rental/memo"
+	memoEvery  = 10 * time.Second
+	maxFailing = 200 // jobs named in it
 )
 
+// memo is its value. It names the jobs that fail on every machine, too: a new leader
+// would try all of their tasks at once (TestMistakenJob).
+type memo struct {
+	Estimates rental.Memo `cbor:"estimates"`
+	Failing   []string    `cbor:"failing"`
+}
+
 func (l *lead) keepMemo(now time.Time) {
 	if now.Sub(l.memoAt) < memoEvery || l.offered.Empty() || !l.reign.Valid() {
 		return
 	}
 	l.memoAt = now
-	fence, value := l.reign.Fence(), wire.Marshal(rental.Remember(&l.offered, &l.learned))
+	m := memo{Estimates: rental.Remember(&l.offered, &l.learned)}
+	for j, st := range l.jobs {
+		if st.failing() && len(m.Failing) < maxFailing {
+			m.Failing = append(m.Failing, j.Spec.ID)
+		}
+	}
+	fence, value := l.reign.Fence(), wire.Marshal(m)
 	if len(value) > l.n.settings.State.ValueBytes {
 		return
 	}
@@ -412,13 +426,16 @@
 		slog.Debug("no estimates recalled", "err", err)
 		return
 	}
-	var m rental.Memo
+	var m memo
 	if err := wire.Unmarshal(it.Value, &m); err != nil {
 		slog.Error("estimates unreadable", "err", err)
 		return
 	}
-	m.Recall(&l.offered, &l.learned)
-	l.recalled = time.UnixMilli(m.LastMS)
+	m.Estimates.Recall(&l.offered, &l.learned)
+	l.recalled = time.UnixMilli(m.Estimates.LastMS)
+	for _, id := range m.Failing {
+		l.failed[id] = true
+	}
 }
 
 // logFleet notes what the machines are used for.
@@ -508,7 +525,7 @@
 		return n
 	}
 	for _, j := range whole {
-		add(j, j.WaitingTasks())
+		add(j, l.wanted(j))
 	}
 	reserved := 0
 	for _, d := range l.reserve() {
@@ -528,7 +545,7 @@
 			break
 		}
 		each := size(l.jobs[j].need)
-		n := float64(add(j, min(j.WaitingTasks(), int(math.Ceil(turns/each)))))
+		n := float64(add(j, min(l.wanted(j), int(math.Ceil(turns/each)))))
 		turns -= n * each
 		usual -= n * each
 	}
@@ -582,7 +599,7 @@
 		at := float64(j.LiveTasks()) * each
 		live += at
 		run := l.expect(j) + l.fetchSeconds(j)
-		waits := float64(j.WaitingTasks()) * each
+		waits := float64(l.wanted(j)) * each
 		works = append(works, rental.Work{Due: l.dueIn(j, now).Seconds(), Run: run, Seconds: run * (waits + at/2)})
 		if t := l.jobs[j].team; j.Spec.CPUs > 0 {
 			may := math.Min(waits, math.Max(0, room[t]))
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tulipshelf/internal/fleet"
+	"tulipshelf/internal/job"
 	"tulipshelf/internal/ledger"
 	"tulipshelf/internal/wire"
 )
@@ -134,13 +135,27 @@
 	sickErrors = 2
 )
 
-// A job whose tasks have failed so often with none done in between waits longer
-// with each failure: it was probably submitted with a mistake.
+// A job whose tasks have failed so often with none done in between was probably
+// submitted with a mistake: one task at a time is tried, with a pause that grows.
 const (
 	jobErrors  = 4
+	minBackoff = 2 * time.Second
 	maxBackoff = time.Minute
 )
 
+func (st *jobState) failing() bool { return st.errors >= jobErrors }
+
+// wanted returns how many of a job's waiting tasks should start. It guards against jobs
+// that fail on every machine: all of their tasks were tried again each minute, 283 starts
+// and as many writes for one, machines were rented for them, and they counted in their
+// team's guarantee before the good ones (operations of both ops deployments).
+func (l *lead) wanted(j *ledger.Job) int {
+	if l.jobs[j].failing() && j.Spec.Shape != job.Gang {
+		return min(1, j.WaitingTasks())
+	}
+	return j.WaitingTasks()
+}
+
 func (l *lead) outcome(m *fleet.Machine, o fleet.Outcome, now time.Time) {
 	a := o.Hold.Attempt
 	slog.Debug("attempt ended", "task", a.Name(), "try", a.Try, "machine", m.Name, "cause", o.Cause)
@@ -161,11 +176,18 @@
 		st.errors, st.backoff = 0, 0
 	case fleet.CauseError:
 		st.failedOn[m.Name] = struct{}{}
-		if st.errors++; st.errors >= jobErrors {
-			st.backoff = min(max(2*st.backoff, 2*time.Second), maxBackoff)
-			st.notBefore = now.Add(st.backoff)
+		if st.errors++; st.failing() {
+			if st.backoff == 0 {
+				st.backoff = minBackoff
+				st.notBefore = now.Add(st.backoff)
+			}
 			clear(st.failedOn) // it may try anywhere again
-			l.fleet.Each(func(m *fleet.Machine) { delete(m.Blamed, a.Job.Spec.ID) })
+			l.fleet.Each(func(m *fleet.Machine) {
+				if _, blamed := m.Blamed[a.Job.Spec.ID]; blamed {
+					delete(m.Blamed, a.Job.Spec.ID)
+					m.Sick = m.Sick && (m.Retire != "" || len(m.Blamed) >= sickJobs)
+				}
+			})
 			return
 		}
 		m.Errors++
