Test troubles that meet, put guests behind guaranteed work, leave chunks for later

Cause (found by the new TestGuests): work within a guarantee stopped tasks of a guest team whose waiting tasks, of higher priority, took the room, and was stopped for it again, for ever. Guests' waiting tasks now have the lowest priority, whatever they say.

TestChangesOfATinyJob counts what a job of one task costs: five changes. The deletion of its tasks' record waits where changes are short (TestEndLeavesChunksForLater). Recording the tasks of a small job in the job's own record would save one more; it was not tried.

New tests on the stand-ins, which can apply transactions late and hold requests up: small jobs across changes of leader, late writes, held commands, a leader that ends before machines deaf to the next, a storm of questions.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -87,7 +88,7 @@
 func (c *cluster) start(i int) {
 	s := &config.Settings{Node: nodeName(i), Zone: "a", Listen: nodeAddr(i), PeerListen: peerAddr(i),
 		CloudAddr: cloudAddr, StateAddr: stateAddr, Zones: []string{"a"},
-		Teams:     []config.Team{{Name: "crew", CPUs: 8, CPUsMax: c.limit}},
+		Teams:     []config.Team{{Name: "crew", CPUs: 8, CPUsMax: c.limit, GPUsMax: math.Inf(1)}, {Name: "guests", CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}},
 		Workers:   config.Workers{Report: 3 * time.Second, Lease: 26 * time.Second, Cancel: 51 * time.Second},
 		State:     config.State{RPS: c.rps, WriteRPS: 60, ValueBytes: 8 << 10, TxnOps: 8},
 		Cloud:     config.Cloud{RPS: 5, ListLag: 2 * time.Second},
--- /dev/null
+++ b/internal/controller/meetings_test.go
@@ -0,0 +1,230 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/ledger"
+)
+
+// Two troubles at once, as the operators have met them: the rules hold, and what was
+// accepted runs. The referee watches for tasks that start while they are on a machine.
+
+// nextLeader ends the leader, waits for another one and starts the old one again.
+func (c *cluster) nextLeader() {
+	c.t.Helper()
+	old := c.leader()
+	c.kill(old)
+	c.until("another leader", 20*time.Second, func() bool { return c.leader() >= 0 && c.leader() != old })
+	c.start(old)
+}
+
+// Small jobs whose tasks end far apart, with a change of leader in between: done once all
+// tasks are, and neither sooner nor twice.
+func TestSmallJobsAcrossLeaders(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.limit = 4 // so that the third task of each begins when others have ended
+		c.restartAll()
+		time.Sleep(2 * time.Second)
+		id := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
+		for i := range 4 {
+			c.accept(5*time.Second, i%3, submission(id(i), job.Array, 3, 20))
+		}
+		for range 3 {
+			time.Sleep(15 * time.Second)
+			c.nextLeader()
+			for i := range 4 {
+				ended := 0
+				for task := range 3 {
+					if c.referee.Ended(fmt.Sprintf("%s/%d", id(i), task)) {
+						ended++
+					}
+				}
+				if s := c.status(i%3, id(i)); s == ledger.Done && ended < 3 {
+					t.Errorf("%s is called done with %d of 3 tasks", id(i), ended)
+				}
+			}
+		}
+		for i := range 4 {
+			c.until("array done", 2*time.Minute, c.done(id(i)))
+		}
+		c.startedOnce()
+	})
+}
+
+// One in four transactions goes unanswered and is applied seconds later, after newer
+// ones of the same controller, while jobs come, end and are cancelled and leaders change.
+func TestLateWrites(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.store.LateWrites(4)
+		id := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
+		cancelled := map[int]bool{}
+		for i := range 12 {
+			c.accept(time.Minute, i%3, submission(id(i), job.Array, 2, 8))
+			if i%3 == 2 {
+				c.until("cancelled or done", time.Minute, func() bool {
+					return c.ask(0, "POST", "/v1/jobs/"+id(i)+"/abort", nil).Status == 200
+				})
+				cancelled[i] = c.status((i+1)%3, id(i)) == ledger.Cancelled
+			}
+			if i%5 == 4 {
+				c.nextLeader()
+			}
+		}
+		c.store.LateWrites(0)
+		time.Sleep(15 * time.Second) // the last late ones are applied
+		for i := range 12 {
+			want := ledger.Done
+			if cancelled[i] {
+				want = ledger.Cancelled
+			}
+			c.until(id(i)+" "+want, 3*time.Minute, func() bool { return c.status(i%3, id(i)) == want })
+		}
+	})
+}
+
+// Commands are held up for longer than their sender waits, and carried out then, while
+// leaders change and jobs are cancelled.
+func TestHeldCommands(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.runService(4)
+		c.net.Hold(func(from, to string) time.Duration {
+			if strings.HasPrefix(to, "10.1.") {
+				return 6 * time.Second
+			}
+			return 0
+		})
+		c.submit(0, submission("wk-000002", job.Array, 8, 5))
+		c.submit(0, submission("wk-000003", job.Service, 2, 0))
+		time.Sleep(time.Second)
+		c.nextLeader()
+		c.abort(1, "wk-000003")
+		c.until("array done", 2*time.Minute, c.done("wk-000002"))
+		c.nextLeader()
+		c.until("cancelled tasks gone", 51*time.Second, func() bool { return c.referee.On() == 4 })
+		c.net.Hold(nil)
+		time.Sleep(20 * time.Second)
+		if n := c.referee.On(); n != 4 {
+			t.Errorf("%d replicas on, 4 wanted", n)
+		}
+	})
+}
+
+// A leader ends while machines with services don't hear the next one.
+func TestLeaderEndsBeforeDeafMachines(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.large()
+		c.runService(40)
+		for i, w := range c.cloud.Machines() {
+			if i%4 == 0 {
+				w.Deafen(true)
+			}
+		}
+		c.nextLeader()
+		time.Sleep(26 * time.Second) // their leases end
+		c.until("service whole", time.Minute, func() bool { return c.referee.On() == 40 })
+	})
+}
+
+// Questions come many times as often for a while, most of them about jobs that nobody has
+// submitted or that are over: submissions are still taken at once, unfinished jobs are
+// answered, and a job asked about before it is submitted is known afterwards.
+func TestPollStorm(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.rps = 60
+		c.restartAll()
+		time.Sleep(2 * time.Second)
+		c.runService(4)
+		var mu sync.Mutex
+		answered, asked := 0, 0
+		stop := time.Now().Add(time.Minute)
+		for k := range 40 { // 80 questions a second
+			go func() {
+				for i := 0; time.Now().Before(stop); i++ {
+					s := c.status(k%3, fmt.Sprintf("wk-%06d", 500+(k*37+i)%400))
+					if s != "404" && s != "503" {
+						t.Errorf("nobody's job is %s", s)
+					}
+					if s = c.status(k%3, "wk-000001"); s == "running" {
+						mu.Lock()
+						answered++
+						mu.Unlock()
+					}
+					mu.Lock()
+					asked++
+					mu.Unlock()
+					time.Sleep(time.Second)
+				}
+			}()
+		}
+		for i := 2; i < 20; i++ {
+			id := fmt.Sprintf("wk-%06d", i)
+			if s := c.status(0, id); s != "404" && s != "503" {
+				t.Errorf("%s before its submission: %s", id, s)
+			}
+			if s := c.submit(i%3, submission(id, job.Array, 1, 2)); s != 201 {
+				t.Errorf("submission in the storm: %d", s)
+			}
+			if s := c.status((i+1)%3, id); s == "404" {
+				t.Errorf("%s unknown after its submission", id)
+			}
+			time.Sleep(3 * time.Second)
+		}
+		mu.Lock()
+		if answered < asked*9/10 {
+			t.Errorf("%d of %d questions about a running job answered", answered, asked)
+		}
+		mu.Unlock()
+		for i := 2; i < 20; i++ {
+			c.until("array done", time.Minute, c.done(fmt.Sprintf("wk-%06d", i)))
+		}
+	})
+}
+
+// A team without a guarantee or a limit runs on what others leave, gives it back to work
+// within a guarantee, and is done in the end.
+func TestGuests(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		guests := submission("wk-000001", job.Array, 40, 120)
+		guests["crew"], guests["rank"] = "guests", "high"
+		if s := c.submit(0, guests); s != 201 {
+			t.Fatalf("guests' submission: %d", s)
+		}
+		c.until("guests have all machines", time.Minute, func() bool { return c.referee.On() == 24 })
+		own := submission("wk-000002", job.Array, 8, 20)
+		own["rank"] = "best_effort"
+		c.submit(0, own)
+		c.until("work within the guarantee done", time.Minute, c.done("wk-000002"))
+		c.until("guests done", 10*time.Minute, c.done("wk-000001"))
+	})
+}
+
+// What a job of one task costs the state service from its acceptance to its end.
+func TestChangesOfATinyJob(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.runService(4)
+		time.Sleep(10 * time.Second)
+		before := c.store.Changes()
+		const jobs = 40
+		for i := range jobs {
+			c.accept(10*time.Second, i%3, submission(fmt.Sprintf("wk-%06d", 10+i), job.Array, 1, 4))
+		}
+		for i := range jobs {
+			c.until("done", 2*time.Minute, c.done(fmt.Sprintf("wk-%06d", 10+i)))
+		}
+		time.Sleep(10 * time.Second)
+		// Accepted, started, ended, its record and its tasks' record deleted; and a few of
+		// the leader's own.
+		if n := c.store.Changes() - before; n > 5*jobs+10 {
+			t.Errorf("%d changes for %d jobs", n, jobs)
+		}
+	})
+}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -183,7 +183,7 @@
 	for i, j := range waiting {
 		st := l.jobs[j]
 		s := j.Spec
-		jobs[i] = placement.Job{Team: st.team, Priority: s.Rank(), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
+		jobs[i] = placement.Job{Team: st.team, Priority: l.priority(j), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
 			Waiting: l.wanted(j), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
 			Urgent: s.Shape == job.Service, Displace: l.displaces(j, now) && !beyond[j], Overdue: now.Sub(j.At) > beginBy && j.LiveTasks() == 0 && j.DoneTasks() == 0, Avoid: l.avoid(st)}
@@ -238,6 +238,16 @@
 	return now.Sub(j.At) >= patience && !l.guest(j)
 }
 
+// priority returns a waiting job's priority: of guests the lowest, whatever they say. They
+// would take the room that was just made for work within a guarantee, and be stopped for
+// it again, for ever (TestGuests).
+func (l *lead) priority(j *ledger.Job) int {
+	if l.guest(j) {
+		return job.BestEffort
+	}
+	return j.Spec.Rank()
+}
+
 // inZones returns how many live attempts of a job are in each zone, and whether
 // the zones of all are known. After an election those of machines that neither
 // the cloud's list nor a report has named are not; a job whose tasks are tied to
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -113,7 +113,7 @@
 			break // less urgent changes would use up what it waits for
 		}
 		if k.c == nil {
-			out.addEnd(k.j, maxOps)
+			out.addEnd(k.j, maxOps, spareOps)
 			size += 200
 			continue
 		}
@@ -144,7 +144,9 @@
 	return out
 }
 
-func (out *Batch) addEnd(j *Job, maxOps int) {
+// addEnd adds the end of a job. Its chunks go with it if that does not hold up others:
+// of the five changes that a job of one task costs the fifth can wait.
+func (out *Batch) addEnd(j *Job, maxOps, spareOps int) {
 	room := maxOps - len(out.Ops)
 	if room < 2 {
 		return
@@ -163,7 +165,7 @@
 		if c.rev == 0 && !c.dirty {
 			continue
 		}
-		if len(out.Ops) >= maxOps {
+		if len(out.Ops) >= min(maxOps, spareOps) {
 			break
 		}
 		out.Ops = append(out.Ops, statestore.Op{Delete: chunkKey(id, n)})
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -128,6 +128,23 @@
 	}
 }
 
+// While changes are short the records of an ended job's tasks are deleted later.
+func TestEndLeavesChunksForLater(t *testing.T) {
+	b := NewBook()
+	j := put(t, b, "wk-000001", 1, false, 10)
+	b.End(start(t, b, j, 0, 11), true, t0)
+	bt := b.NextBatch(fence, 8, 1, t0)
+	if bt == nil || len(bt.Ops) != 2 {
+		t.Fatalf("%+v", bt)
+	}
+	if _, ended := b.Committed(bt, 12); len(ended) != 1 {
+		t.Fatal("job is not over")
+	}
+	if ops := j.OrphanOps(8); len(ops) != 1 || ops[0].Delete != "job/wk-000001/000000" {
+		t.Errorf("left to delete: %+v", ops)
+	}
+}
+
 func mustIgnore(t *testing.T, b *Book, value []byte, rev uint64) *Job {
 	t.Helper()
 	j, news, err := b.PutJob(value, rev)
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -23,6 +23,7 @@
 	conns   map[net.Conn][2]string
 	delays  []time.Duration // after which each request is delivered once more
 	asked   map[string]int  // requests by server
+	hold    func(from, to string) time.Duration
 }
 
 // NewNet returns a network without servers that lasts until ctx ends.
@@ -66,6 +67,14 @@
 	n.delays = delays
 }
 
+// Hold makes requests arrive so much later, also when whoever sent them has given up; nil
+// ends that.
+func (n *Net) Hold(hold func(from, to string) time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hold = hold
+}
+
 // Asked returns how many requests a server has had.
 func (n *Net) Asked(addr string) int {
 	n.mu.Lock()
@@ -110,7 +119,7 @@
 		n.mu.Lock()
 		n.conns[a] = [2]string{from, addr}
 		n.mu.Unlock()
-		go n.answer(addr, b, h)
+		go n.answer(from, addr, b, h)
 		return &conn{Conn: a, n: n}, nil
 	}
 }
@@ -130,7 +139,7 @@
 // drop is the status of an answer that is never sent.
 const drop = -1
 
-func (n *Net) answer(addr string, c net.Conn, h wire.Handler) {
+func (n *Net) answer(from, addr string, c net.Conn, h wire.Handler) {
 	defer c.Close()
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
@@ -141,6 +150,12 @@
 		req, used, err := wire.ParseRequest(buf)
 		if err == nil {
 			n.again(addr, req)
+			n.mu.Lock()
+			hold := n.hold
+			n.mu.Unlock()
+			if hold != nil {
+				time.Sleep(hold(from, addr))
+			}
 			resp := h(ctx, &req)
 			if resp.Status == drop {
 				return
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -25,6 +25,9 @@
 	lose    int // answers of so many transactions to come are lost after they were applied
 	late    []func()
 	hold    int // so many transactions to come are held back and go unanswered
+	every   int // of so many transactions one goes unanswered and is applied late; 0: none
+	count   int
+	changes int // puts and deletes so far
 	asked   int // requests so far
 }
 
@@ -83,6 +86,21 @@
 	}
 }
 
+// LateWrites lets one in so many transactions go unanswered and be applied 2 to 12 s
+// later, after newer ones; 0 ends that.
+func (s *Store) LateWrites(every int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.every = every
+}
+
+// Changes returns how many puts and deletes have been asked for.
+func (s *Store) Changes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes
+}
+
 // Asked returns how many requests have come.
 func (s *Store) Asked() int {
 	s.mu.Lock()
@@ -214,14 +232,19 @@
 }
 
 func (s *Store) txn(body []byte) wire.Response {
+	later := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.apply(body)
+	}
+	s.count++
 	switch {
+	case s.every > 0 && s.count%s.every == 0:
+		time.AfterFunc(time.Duration(2+s.count%11)*time.Second, later)
+		return wire.Response{Status: drop}
 	case s.hold > 0:
 		s.hold--
-		s.late = append(s.late, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.apply(body)
-		})
+		s.late = append(s.late, later)
 		return wire.Response{Status: drop}
 	case s.lose > 0:
 		s.lose--
@@ -239,6 +262,7 @@
 	if wire.Unmarshal(body, &in) != nil {
 		return wire.Response{Status: 400}
 	}
+	s.changes += len(in.Then)
 	var failed []string
 	for _, c := range in.When {
 		if s.keys[c.Key].rev != c.Rev {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -46,6 +46,13 @@
 	return len(r.on)
 }
 
+// Ended tells whether a task has completed.
+func (r *Referee) Ended(task string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Done[task]
+}
+
 // Begun returns how often each task has started so far.
 func (r *Referee) Begun() map[string]int {
 	r.mu.Lock()
