--- /dev/null
+++ b/internal/controller/sizing.go
@@ -0,0 +1,201 @@
+package controller
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	"tulipshelf/internal/config"
+	"tulipshelf/internal/fleet"
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/placement"
+	"tulipshelf/internal/rental"
+)
+
+// demand returns the tasks that should get a machine soon, the most important
+// first, and behind them the reserve, and says why. Running tasks are left out.
+func (l *lead) demand(now time.Time) (out []rental.Demand, why string) {
+	used := l.teams()
+	var whole, arrays []*ledger.Job
+	l.book.Jobs(func(j *ledger.Job) {
+		switch {
+		case l.jobs[j].team < 0 || j.WaitingTasks() == 0:
+		case j.Spec.Shape == job.Array:
+			arrays = append(arrays, j)
+		default:
+			whole = append(whole, j)
+		}
+	})
+	byImportance := func(jobs []*ledger.Job) {
+		sort.Slice(jobs, func(x, y int) bool {
+			a, b := jobs[x], jobs[y]
+			if a.Spec.Rank() != b.Spec.Rank() {
+				return a.Spec.Rank() > b.Spec.Rank()
+			}
+			return a.Arrival < b.Arrival
+		})
+	}
+	byImportance(whole)
+	byImportance(arrays)
+	add := func(j *ledger.Job, n int) int {
+		st := l.jobs[j]
+		team := &used[st.team]
+		n = within(n, team.CPUsMax-team.CPUsUsed, j.Spec.CPUs)
+		n = within(n, team.GPUsMax-team.GPUsUsed, j.Spec.GPUs)
+		if n == 0 {
+			return 0
+		}
+		team.CPUsUsed += float64(n) * j.Spec.CPUs
+		team.GPUsUsed += float64(n) * j.Spec.GPUs
+		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: st.zone, Spot: j.Spec.Spot, Tasks: n})
+		return n
+	}
+	for _, j := range whole {
+		add(j, l.wanted(j))
+	}
+	reserved := 0
+	for _, d := range l.reserve() {
+		reserved += d.Tasks
+		out = append(out, d)
+	}
+	// Arrays share what they need together: their tasks take turns on a machine.
+	taken := 0.0
+	for _, d := range out {
+		taken += float64(d.Tasks) * d.Need[placement.CPU]
+	}
+	turns, usual := l.arrayCPUs(taken, used, now)
+	why = fmt.Sprintf("%d tasks without room, %.0f CPUs more for arrays, room for %d of services to come",
+		l.without, math.Max(0, turns), reserved)
+	for _, j := range arrays {
+		if turns <= 0 {
+			break
+		}
+		each := size(l.jobs[j].need)
+		n := float64(add(j, min(l.wanted(j), int(math.Ceil(turns/each)))))
+		turns -= n * each
+		usual -= n * each
+	}
+	// Room kept for arrays to come, of the kind of the last one. What waits beyond
+	// its team's limit asks for none (omaruru-fares-grown: a quarter of all machines
+	// stood free for tasks that were not allowed to start).
+	if usual > 0 && l.lastArray != nil {
+		st := l.lastArray
+		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: -1, Spot: true, Tasks: int(usual/size(st.need) + 0.5)})
+	}
+	return out, why
+}
+
+// within returns how many of n tasks that take so much each fit into some room, which
+// may be without bounds.
+func within(n int, room, each float64) int {
+	if each > 0 {
+		return int(math.Max(0, math.Min(float64(n), room/each+1e-6)))
+	}
+	return max(n, 0)
+}
+
+// size returns what a task counts in the sizing for arrays: its CPUs.
+func size(need placement.Amounts) float64 {
+	if need[placement.CPU] > 0 {
+		return need[placement.CPU]
+	}
+	return 1
+}
+
+// arrayCPUs returns how many more CPUs tasks of arrays should have, if taken CPUs of what
+// is free will go to others: for those that wait, and for those that usually come.
+//
+// It counts CPUs, not tasks: what many tiny tasks wait for would be rented in CPUs as soon
+// as those of another array stand in the line before them (TestSmallTasksRentLittle).
+func (l *lead) arrayCPUs(taken float64, teams []placement.Team, now time.Time) (need, usual float64) {
+	live, boot := 0.0, 0.0
+	var works []rental.Work
+	room := make([]float64, len(teams))
+	for i := range teams {
+		room[i] = teams[i].CPUsMax - teams[i].CPUsUsed
+	}
+	for i := range l.types {
+		boot = math.Max(boot, l.types[i].BootS)
+	}
+	l.book.Jobs(func(j *ledger.Job) {
+		if j.Spec.Shape != job.Array || j.Cancelled || l.jobs[j].team < 0 {
+			return
+		}
+		each := size(l.jobs[j].need)
+		at := float64(j.LiveTasks()) * each
+		live += at
+		run := l.expect(j) + l.fetchSeconds(j)
+		waits := float64(l.wanted(j)) * each
+		works = append(works, rental.Work{Due: l.dueIn(j, now).Seconds(), Run: run, Seconds: run * (waits + at/2)})
+		if t := l.jobs[j].team; j.Spec.CPUs > 0 {
+			may := math.Min(waits, math.Max(0, room[t]))
+			room[t] -= may
+			works[len(works)-1].Waits = run * may
+		}
+	})
+	free := 0.0
+	l.fleet.Each(func(m *fleet.Machine) {
+		if m.Type >= 0 && m.Retire == "" && !m.Sick && (m.Known || !l.overdueBoot(m, now)) {
+			v, _ := l.view(m, now)
+			free += v.Free[placement.CPU]
+		}
+	})
+	cpus := live + math.Max(0, free-taken)
+	usual = l.offered.Rate(now)
+	slots := rental.Slots(works, cpus, boot)
+	drain := rental.Drain(works, cpus, usual, boot)
+	slog.Debug("arrays sized", "need", slots, "usual", usual, "drain", drain, "live", live, "cpus", cpus, "taken", taken)
+	return math.Max(math.Max(slots, usual), drain) - live, usual - live
+}
+
+// fetchSeconds is about how long a machine takes to fetch a job's image.
+func (l *lead) fetchSeconds(j *ledger.Job) float64 {
+	rate := 0.0
+	for i := range l.types {
+		rate = math.Max(rate, l.types[i].FetchRate)
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return j.Spec.ImageGB / rate
+}
+
+// dueIn returns the time until a job should be complete, by its own deadline or
+// by its class's objective.
+func (l *lead) dueIn(j *ledger.Job, now time.Time) time.Duration {
+	due := time.Duration(j.Spec.DueS * float64(time.Second))
+	if due == 0 {
+		for _, o := range l.n.settings.Objectives {
+			if o.Class == j.Spec.Class && o.Within > 0 && (due == 0 || o.Within < due) && o.Kind != config.KindWait {
+				due = o.Within
+			}
+		}
+	}
+	if due == 0 {
+		due = 4 * j.Spec.Expect()
+	}
+	return due - now.Sub(j.At)
+}
+
+// reserve keeps room free for services to come, which start at once or miss
+// their aim: a share of what services use, in tasks of the largest size seen.
+func (l *lead) reserve() []rental.Demand {
+	var cpus float64
+	var typical *ledger.Job
+	l.book.Jobs(func(j *ledger.Job) {
+		if j.Spec.Shape == job.Service && !j.Cancelled {
+			cpus += float64(j.Spec.Tasks) * j.Spec.CPUs
+			if typical == nil || j.Spec.CPUs > typical.Spec.CPUs {
+				typical = j
+			}
+		}
+	})
+	if typical == nil || typical.Spec.CPUs <= 0 {
+		return nil
+	}
+	n := int(math.Ceil(cpus * l.n.operator.Reserve / typical.Spec.CPUs))
+	return []rental.Demand{{Need: l.jobs[typical].need, Types: l.jobs[typical].types, Zone: -1, Tasks: n}}
+}
