--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -219,3 +219,41 @@
 		}
 	})
 }
+
+// A large array of short tasks, a leader that ends in the middle of it, and a service that
+// comes meanwhile: the changes a task costs are bounded, no task that is recorded as done
+// runs again, and the service starts in time.
+func TestLargeArrayOfShortTasks(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		const tasks = 6000
+		c.cloud.Capacity, c.limit = 24, 96
+		c.restartAll()
+		time.Sleep(2 * time.Second)
+		large := submission("wk-000001", job.Array, tasks, 4)
+		large["cpus"], large["ram_gb"], large["rank"] = 0.25, 0.5, "best_effort"
+		before := c.store.Changes()
+		c.submit(0, large)
+		c.until("a third done", 3*time.Minute, func() bool { return len(c.referee.Begun()) > tasks/3 })
+		c.nextLeader()
+		service := submission("wk-000002", job.Service, 4, 0)
+		service["rank"] = "high"
+		c.accept(10*time.Second, 1, service)
+		c.until("service runs beside it", 20*time.Second, func() bool {
+			begun := c.referee.Begun()
+			return begun["wk-000002/0"]+begun["wk-000002/1"]+begun["wk-000002/2"]+begun["wk-000002/3"] == 4
+		})
+		c.until("array done", 5*time.Minute, c.done("wk-000001"))
+		again := 0
+		for task, n := range c.referee.Begun() {
+			if strings.HasPrefix(task, "wk-000001/") {
+				again += n - 1
+			}
+		}
+		if again > tasks/20 {
+			t.Errorf("%d of %d tasks ran again", again, tasks)
+		}
+		if n := c.store.Changes() - before; n > tasks/10 {
+			t.Errorf("%d changes for %d tasks", n, tasks)
+		}
+	})
+}
