--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -208,16 +208,24 @@
 	})
 }
 
+// cancelWithoutLeader ends the leader, cancels wk-000001 through another node and begins
+// an outage, before anybody can be elected.
+func (c *cluster) cancelWithoutLeader() (old int) {
+	c.t.Helper()
+	old = c.leader()
+	c.kill(old)
+	c.abort((old+1)%3, "wk-000001")
+	c.store.Down(true)
+	return old
+}
+
 // A job is cancelled while nobody leads, and in the outage that follows nobody can be
 // elected: the nodes that its workers come to halt what they know to be cancelled.
 func TestCancelWithoutLeader(t *testing.T) {
 	simulate(t, func(c *cluster) {
 		time.Sleep(2 * time.Second)
 		c.runService(8)
-		old := c.leader()
-		c.kill(old)
-		c.abort((old+1)%3, "wk-000001")
-		c.store.Down(true)
+		old := c.cancelWithoutLeader()
 		c.until("cancelled tasks gone", 51*time.Second, func() bool { return c.referee.On() == 0 })
 		c.start(old)
 		c.store.Down(false)
@@ -231,10 +239,7 @@
 	simulate(t, func(c *cluster) {
 		time.Sleep(2 * time.Second)
 		c.runService(8)
-		old := c.leader()
-		c.kill(old)
-		c.abort((old+1)%3, "wk-000001")
-		c.store.Down(true)
+		c.cancelWithoutLeader()
 		c.restartAll() // nobody knows of the cancellation any more
 		time.Sleep(32 * time.Second)
 		if n := c.referee.On(); n != 8 {
