--- a/cmd/tulipshelf/main.go
+++ b/cmd/tulipshelf/main.go
@@ -85,9 +85,13 @@
 		Short: "Check the settings and the operator file, and name every fault",
 		Args:  noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, _, err := read(settingsPath, operatorPath); err != nil {
+			s, _, err := read(settingsPath, operatorPath)
+			if err != nil {
 				return err
 			}
+			for _, line := range s.Oddities() {
+				fmt.Fprintln(cmd.OutOrStdout(), "note:", line)
+			}
 			fmt.Fprintln(cmd.OutOrStdout(), "settings are sound")
 			return nil
 		},
@@ -131,6 +135,9 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", s.Node))
 	debug.SetMemoryLimit(int64(float64(s.Resources.MemBytes) * memoryShare))
 	slog.Info("starting", "listen", s.Listen, "zone", s.Zone)
+	for _, line := range s.Oddities() {
+		slog.Info("settings are odd", "what", line)
+	}
 	if err := controller.New(s, o, controller.Network{}).Run(ctx); err != nil {
 		slog.Error("ended", "err", err)
 		return err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"os"
 	"reflect"
 	"strings"
@@ -34,6 +35,15 @@
 			t.Errorf("%s for %s: %v", x.to, x.from, err)
 		}
 	}
+	// A limit of 0, or left out, is none; one below the guarantee is taken, and named.
+	odd := strings.NewReplacer(`"cpus_max": 64.0`, `"cpus_max": 0.0`, `"cpus_max": 96.0`, `"cpus_max": 9.5, "colour": "red"`).Replace(string(data))
+	s, err = ParseSettings([]byte(odd))
+	if err != nil || !math.IsInf(s.Teams[0].CPUsMax, 1) || !math.IsInf(s.Teams[0].GPUsMax, 1) || s.Teams[1].CPUsMax != 9.5 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	if notes := s.Oddities(); len(notes) != 1 || !strings.HasPrefix(notes[0], "team "+s.Teams[1].Name) {
+		t.Errorf("oddities: %q", notes)
+	}
 	// Every fault is named, not only the first.
 	bad := strings.NewReplacer(`"shelf-0"`, `1`, `"list_lag_s": 4.0`, `"list_lag_s": "x"`).Replace(string(data))
 	_, err = ParseSettings([]byte(bad))
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -32,7 +32,8 @@
 // Peer is another controller.
 type Peer struct{ Node, Zone, Addr string }
 
-// Team has a guarantee and a limit on each of CPUs and GPUs.
+// Team has a guarantee and a limit on each of CPUs and GPUs. No guarantee is 0, no
+// limit is infinite.
 type Team struct {
 	Name                         string
 	CPUs, CPUsMax, GPUs, GPUsMax float64
@@ -131,8 +132,8 @@
 	}
 	seen := map[string]bool{}
 	for _, t := range params.list("teams") {
-		team := Team{t.text("name"), t.number("cpus", 0, 1e9), t.number("cpus_max", 0, 1e9),
-			t.optional("gpus", 0, 1e9), t.optional("gpus_max", 0, 1e9)}
+		team := Team{t.text("name"), t.number("cpus", 0, 1e9), t.limit("cpus_max"),
+			t.optional("gpus", 0, 1e9), t.limit("gpus_max")}
 		if seen[team.Name] {
 			r.fault(t.path+"name", "names a team twice")
 		}
@@ -246,6 +247,27 @@
 	return o.number(name, least, most)
 }
 
+// limit reads a limit, of which 0 means that there is none (DEPLOY-tulipshelf.md). It
+// guards against a guest team of which every job was refused as beyond a limit of 0
+// (inc-c8e5, inc-bc39).
+func (o object) limit(name string) float64 {
+	if f := o.optional(name, 0, 1e9); f > 0 {
+		return f
+	}
+	return math.Inf(1)
+}
+
+// Oddities names what is allowed in the settings but hardly meant, a line each.
+func (s *Settings) Oddities() []string {
+	var out []string
+	for _, t := range s.Teams {
+		if t.CPUsMax < t.CPUs || t.GPUsMax < t.GPUs {
+			out = append(out, fmt.Sprintf("team %s: its limit is below its guarantee, and holds", t.Name))
+		}
+	}
+	return out
+}
+
 // Controls tells whether a controller stands in a zone.
 func (s *Settings) Controls(zone string) bool {
 	return s.Zone == zone || slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.Zone == zone })
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -473,13 +473,9 @@
 	add := func(j *ledger.Job, n int) int {
 		st := l.jobs[j]
 		team := &used[st.team]
-		if c := j.Spec.CPUs; c > 0 {
-			n = min(n, int((team.CPUsMax-team.CPUsUsed)/c+1e-6))
-		}
-		if g := j.Spec.GPUs; g > 0 {
-			n = min(n, int((team.GPUsMax-team.GPUsUsed)/g+1e-6))
-		}
-		if n <= 0 {
+		n = within(n, team.CPUsMax-team.CPUsUsed, j.Spec.CPUs)
+		n = within(n, team.GPUsMax-team.GPUsUsed, j.Spec.GPUs)
+		if n == 0 {
 			return 0
 		}
 		team.CPUsUsed += float64(n) * j.Spec.CPUs
@@ -522,6 +518,15 @@
 	return out, why
 }
 
+// within returns how many of n tasks that take so much each fit into some room, which
+// may be without bounds.
+func within(n int, room, each float64) int {
+	if each > 0 {
+		return int(math.Max(0, math.Min(float64(n), room/each+1e-6)))
+	}
+	return max(n, 0)
+}
+
 // arrayTasks returns how many tasks of arrays should run at once, beside those
 // that do, if taken CPUs of what is free will go to others: of those that wait,
 // and of those that usually come.
