--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -384,7 +384,7 @@
 		if got := c.submit(0, submission("wk-000001", job.Array, 4, 5)); got != 200 {
 			t.Errorf("applied, answer lost: %d, want 200 after reading back", got)
 		}
-		c.store.HoldBack(1)
+		c.store.HoldBack(1, ledger.JobKey("wk-000002"))
 		if got := c.submit(0, submission("wk-000002", job.Array, 4, 5)); got != 503 {
 			t.Errorf("held back: %d, want 503", got)
 		}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tulipshelf/internal/cloud"
@@ -39,7 +40,7 @@
 
 	started    time.Time
 	firstTerm  uint64 // of this reign
-	loaded     bool
+	loaded     atomic.Bool
 	gathered   bool
 	listed     bool // the cloud's list has been read
 	book       *ledger.Book
@@ -180,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	l.loaded = true
+	l.loaded.Store(true)
 	l.spawn(func() { l.watch(ctx, rev, cancel) })
 	l.spawn(func() { l.rent(ctx) })
 	l.spawn(func() { l.followRelay(ctx) })
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"tulipshelf/internal/cancellation"
 	"tulipshelf/internal/cloud"
 	"tulipshelf/internal/config"
 	"tulipshelf/internal/fleet"
@@ -42,7 +43,8 @@
 	lead      atomic.Pointer[lead]
 	harbour   harbour
 	strays    recent // machines that have reported here though this node does not lead
-	cancelled recent // jobs of which users were told here that they are cancelled
+	cancelled *cancellation.Register
+	guard     guard
 }
 
 const reportPath = "/v1/report"
@@ -77,6 +79,7 @@
 		store:    statestore.New(net.Dial, s.StateAddr, s.State.RPS*nodeShare, s.State.WriteRPS*writeShare),
 		cloud:    cloud.New(net.Dial, s.CloudAddr, s.Cloud.RPS*cloudShare),
 	}
+	n.cancelled = cancellation.New(len(s.Peers)+1, s.Workers.Cancel)
 	n.lodger = &relay.Lodger{Node: s.Node, Store: n.store, Dial: net.Dial, ValueBytes: s.State.ValueBytes, TxnOps: s.State.TxnOps}
 	n.candidate = &leadership.Candidate{Node: s.Node, TTL: o.LeaderLease, Store: n.store,
 		Defer: func() bool { return n.peers.StraysElsewhere(handOverWithin) > handOverTimes*max(n.strayed(), 1) }}
@@ -90,10 +93,9 @@
 			}
 			return nil
 		},
-		Cancelled: func(id string) {
-			n.cancelled.note(id, time.Now())
-			n.onCancelled([]string{id})
-		},
+		Cancelled: func(id string) { n.onCancelled(n.cancelled.Note(id)) },
+		Spread:    func(ctx context.Context, id string) bool { return n.peers.Spread(ctx, id) },
+		Learned:   func(ids []string, asOf time.Time) { n.onCancelled(n.cancelled.Read(ids, asOf)) },
 		Changed: func(id string) {
 			select {
 			case n.changed <- id:
@@ -103,8 +105,8 @@
 	}
 	n.intake.Init(s.State.RPS)
 	n.peers = &peer.Net{Dial: net.Dial, Node: s.Node, Known: n.candidate.Leader, Learned: n.candidate.Learn, Changed: n.onChanged,
-		Strays: n.strayed, Cancelled: n.onCancelled, Served: func() bool { return n.store.Served(readyServed) },
-		OwnCancelled: func() []string { return n.cancelled.within(s.Workers.Cancel, time.Now()) }}
+		Strays: n.strayed, Register: n.cancelled, Cancelled: n.onCancelled,
+		Gone: n.guard.known, LearnGone: n.guard.learn, Served: func() bool { return n.store.Served(readyServed) }}
 	for _, p := range s.Peers {
 		n.peers.Others = append(n.peers.Others, peer.Other{Node: p.Node, Addr: p.Addr})
 	}
@@ -151,6 +153,8 @@
 	run(n.intake.Run)
 	run(n.tellChanged)
 	run(n.keepCatalog)
+	run(n.keepKnowing)
+	run(n.keepGuard)
 	run(func(ctx context.Context) { n.candidate.Run(ctx, n.reign) })
 	var err error
 	select {
@@ -181,11 +185,9 @@
 	}
 }
 
-// onCancelled takes the word of a node, maybe this one, that jobs are cancelled.
+// onCancelled tells the leader, if this node leads, of jobs that are newly known to be
+// cancelled.
 func (n *Node) onCancelled(ids []string) {
-	for _, id := range ids {
-		n.intake.Finished(id, ledger.Cancelled)
-	}
 	if l := n.lead.Load(); l != nil && len(ids) > 0 {
 		l.tell(func() { l.onCancelled(ids, time.Now()) })
 	}
@@ -316,7 +318,7 @@
 // sent back to it.
 func (n *Node) lodge(r *fleet.Report) (wire.Response, bool) {
 	leader, term, ok := n.candidate.Confirmed(lodgeConfirmed)
-	if !ok || leader == n.settings.Node || r.Token > term || n.peers.Heard(leader, lodgeUnheard) {
+	if !ok || !n.mayProlong() || leader == n.settings.Node || r.Token > term || n.peers.Heard(leader, lodgeUnheard) {
 		return wire.Response{}, false
 	}
 	answer := n.lodger.Answer(r, leader, term)
@@ -406,14 +408,14 @@
 }
 
 // halts returns the commands that end tasks of cancelled jobs on a machine, as far as
-// this node knows of the cancellations: for a worker that it answers without leading.
-// They are right whoever leads, and nobody may in an outage that outlasts the time in
-// which such tasks must be gone.
+// this node knows of the cancellations: for a worker that it answers without leading for
+// certain. They are right whoever leads, and nobody may in an outage that outlasts the
+// time in which such tasks must be gone.
 func (n *Node) halts(r *fleet.Report) (out []fleet.Order) {
 	now := 0.0
 	for _, t := range r.Tasks {
 		id, _, _ := fleet.SplitTask(t.Task)
-		if t.Status != fleet.Exited && len(out) < maxOrders && n.intake.KnownCancelled(id) {
+		if t.Status != fleet.Exited && len(out) < maxOrders && n.cancelled.Knows(id) {
 			out = append(out, fleet.Order{Verb: "halt", Task: t.Task, Try: t.Try, WindDown: &now})
 		}
 	}
@@ -425,13 +427,14 @@
 	if err := wire.Unmarshal(body, &r); err != nil || r.Machine == "" || r.Session == 0 {
 		return wire.Response{Status: 400, Body: wire.Marshal(map[string]string{"error": fmt.Sprint("malformed report: ", err)})}
 	}
+	n.guard.heed(&r)
 	l := n.lead.Load()
 	if l == nil {
 		n.strays.note(r.Machine, time.Now())
 		if resp, ok := n.lodge(&r); ok {
 			return resp
 		}
-		if n.isolated() && n.harbour.takes(&r, n.settings.Workers.Report*3/2, time.Now()) {
+		if n.isolated() && n.mayProlong() && n.harbour.takes(&r, n.settings.Workers.Report*3/2, time.Now()) {
 			return wire.Response{Status: 200, Body: wire.Marshal(fleet.Answer{Token: r.Token, Orders: n.halts(&r)})}
 		}
 		return n.redirect()
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -40,6 +40,8 @@
 	l.book.Jobs(func(j *ledger.Job) {
 		if j.Cancelled {
 			l.sweep(j, now)
+		} else if l.n.cancelled.Knows(j.Spec.ID) {
+			l.onCancelled([]string{j.Spec.ID}, now) // it was told of while its events were full
 		}
 	})
 	l.retire(now)
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -155,7 +155,7 @@
 
 // decide returns the machines to return and the rentals to ask for.
 func (l *lead) decide(now time.Time) (names []string, asks []cloud.Rental) {
-	if !l.loaded || !l.reign.Valid() || !l.surveyed(now) {
+	if !l.loaded.Load() || !l.reign.Valid() || !l.surveyed(now) {
 		return l.givenUp(func(m *fleet.Machine) bool { return m.Retire == stuckCancelled }), nil
 	}
 	l.reprice(*l.n.types.Load())
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -20,7 +20,7 @@
 
 // onReport handles a report and gives its answer.
 func (l *lead) onReport(r *fleet.Report) wire.Response {
-	if !l.loaded {
+	if !l.loaded.Load() {
 		return wire.Response{Status: 503, RetryAfter: 1}
 	}
 	term := l.reign.Term()
@@ -34,6 +34,9 @@
 	if m == nil {
 		return wire.Response{Status: 503, RetryAfter: 1}
 	}
+	if !l.n.mayProlong() {
+		return wire.Response{Status: 503, RetryAfter: 1}
+	}
 	answer := fleet.Answer{Token: term}
 	// A late copy says nothing of the way that newer reports take.
 	if r.Session == m.Session && r.Tick == m.Tick {
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -234,17 +234,26 @@
 }
 
 // A leader elected long after a cancellation halts the tasks where they are; it does not
-// return the machines before they had time to report to it.
+// return the machines before they had time to report to it. Until then the tasks were kept
+// by one that could learn of the cancellation from nobody.
 func TestCancelLongBeforeElection(t *testing.T) {
 	simulate(t, func(c *cluster) {
 		time.Sleep(2 * time.Second)
 		c.runService(8)
-		c.cancelWithoutLeader()
-		c.restartAll() // nobody knows of the cancellation any more
+		old := c.leader()
+		c.net.Cut(func(from, to string) bool {
+			worker := func(addr string) bool { return strings.HasPrefix(addr, "10.1.") }
+			node := func(addr string) bool { return strings.HasPrefix(addr, "10.0.") }
+			mine := from == nodeAddr(old) || to == nodeAddr(old) || to == peerAddr(old)
+			return mine && !worker(from) && !worker(to) && !strings.HasPrefix(from, "user") || !mine && (worker(from) && node(to) || node(from) && worker(to))
+		})
+		c.abort((old+1)%3, "wk-000001")
+		c.store.Down(true)
 		time.Sleep(32 * time.Second)
 		if n := c.referee.On(); n != 8 {
 			t.Errorf("%d of 8 tasks on at the end of the outage", n)
 		}
+		c.net.Cut(func(from, to string) bool { return from == nodeAddr(old) && to == stateAddr })
 		c.store.Down(false)
 		c.until("cancelled tasks gone", 15*time.Second, func() bool { return c.referee.On() == 0 })
 		time.Sleep(3 * time.Second)
@@ -283,7 +292,7 @@
 		last := c.nodes[c.leader()].lead.Load().reign.Term()
 		for range 4 {
 			node := c.leader()
-			c.store.HoldBack(1)
+			c.store.HoldBack(1, "lead/")
 			c.kill(node)
 			c.start(node)
 			time.Sleep(200 * time.Millisecond) // its claim is on its way
@@ -303,16 +312,21 @@
 	})
 }
 
-// Controllers that all come back in an outage which outlasts the workers' leases know
-// no term. A worker that finds nobody else keeps its tasks; it is turned away now and
-// then to look for a leader.
+// Controllers that all come back in an outage which outlasts the workers' leases, one
+// after the other, know no term, but what each was told of cancellations by those before
+// it. A worker that finds nobody else keeps its tasks; it is turned away now and then to
+// look for a leader.
 func TestAllBackInOutage(t *testing.T) {
 	simulate(t, func(c *cluster) {
 		time.Sleep(2 * time.Second)
 		c.runService(8)
+		time.Sleep(5 * time.Second)
 		c.store.Down(true)
-		c.restartAll()
-		time.Sleep(8 * time.Second) // one of them was told of the leader before that was ended
+		for i := range 3 {
+			c.kill(i)
+			c.start(i)
+			time.Sleep(8 * time.Second)
+		}
 		for i, want := range []int{200, 421} {
 			body := wire.Marshal(fleet.Report{Machine: "vm-000099", Session: 1, Tick: uint64(i + 1), Token: 1})
 			if s := c.ask(0, "POST", "/v1/report", body).Status; s != want {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,6 +30,20 @@
 	Tasks   []TaskReport `cbor:"tickets"`
 }
 
+// Proves tells whether the report, however late it comes, proves that an attempt made in
+// a session is gone (see Machine.Handle).
+func (r *Report) Proves(task string, try, session uint64) bool {
+	if r.Session != session {
+		return r.Session > session
+	}
+	for _, t := range r.Tasks {
+		if t.Task == task && t.Try == try {
+			return t.Status == Exited
+		}
+	}
+	return ledger.TryTerm(try) < r.Token
+}
+
 // TaskReport is one attempt as a worker has it.
 type TaskReport struct {
 	Task   string `cbor:"ticket"`
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,9 +24,11 @@
 	Store     *statestore.Client
 	Teams     []config.Team
 	ChunkSize int
-	Types     func() []cloud.Type // nil while the catalog is unknown
-	Changed   func(id string)     // a job was submitted or cancelled here
-	Cancelled func(id string)     // it was cancelled, durably
+	Types     func() []cloud.Type                       // nil while the catalog is unknown
+	Changed   func(id string)                           // a job was submitted or cancelled here
+	Cancelled func(id string)                           // it was cancelled, durably
+	Spread    func(ctx context.Context, id string) bool // whether most controllers hold that it is
+	Learned   func(cancelled []string, asOf time.Time)  // jobs newly found cancelled by a read sent then
 
 	replica *replica
 
@@ -35,7 +37,13 @@
 }
 
 // Init readies the intake for a state service that allows rps requests a second.
-func (in *Intake) Init(rps float64) { in.replica = newReplica(in.Store, rps) }
+func (in *Intake) Init(rps float64) { in.replica = newReplica(in.Store, rps, in.Learned) }
+
+// Confirm reads what has changed in the records, after the call.
+func (in *Intake) Confirm(ctx context.Context) error { return in.replica.confirm(ctx) }
+
+// Places returns where tasks of an unfinished job may be, by what was read last.
+func (in *Intake) Places(id string) []ledger.Place { return in.replica.places(id) }
 
 // Run keeps the copy of the records that polls are answered from, until ctx ends.
 func (in *Intake) Run(ctx context.Context) { in.replica.run(ctx) }
@@ -218,7 +226,7 @@
 	st, found, err := in.replica.status(id)
 	if err != nil || found {
 		if st.Status == ledger.Cancelled {
-			in.Finished(id, ledger.Cancelled)
+			err = in.mayTell(ctx, id)
 		}
 		return st, err
 	}
@@ -238,6 +246,22 @@
 	return st, nil
 }
 
+var errUntold = errors.New("intake: too few controllers hold the cancellation")
+
+// mayTell tells whether a user may be told that an unfinished job is cancelled: that
+// starts the time in which its tasks must be gone, so most controllers must hold it in
+// memory. Once the job's end is recorded nothing of it is left, and anybody may.
+//
+// It guards against the end of the only controller that knows of a cancellation, in an
+// outage of the state service that outlasts that time, while workers go to another.
+func (in *Intake) mayTell(ctx context.Context, id string) error {
+	if !in.Spread(ctx, id) {
+		return errUntold
+	}
+	in.Finished(id, ledger.Cancelled)
+	return nil
+}
+
 func (in *Intake) abort(ctx context.Context, id string) wire.Response {
 	answer := func(s string) wire.Response {
 		return wire.Response{Status: 200, Body: wire.Marshal(brief{id, s})}
@@ -276,9 +300,13 @@
 		var conflict *statestore.ConflictError
 		switch {
 		case err == nil:
-			in.Finished(id, ledger.Cancelled)
 			in.Cancelled(id)
 			in.Changed(id) // the leader needs the revision of the record too
+			// No task of it is recorded as started from now on; where those are that were
+			// is read before it is told, for whoever has to end them.
+			if in.Confirm(ctx) != nil || in.mayTell(ctx, id) != nil {
+				return later()
+			}
 			return answer(ledger.Cancelled)
 		case errors.As(err, &conflict), errors.Is(err, statestore.ErrUnknown):
 			continue // read back what stands
@@ -288,12 +316,6 @@
 	return later()
 }
 
-// KnownCancelled tells whether a job is known here to be cancelled, durably.
-func (in *Intake) KnownCancelled(id string) bool {
-	s, _ := in.cached(id)
-	return s == ledger.Cancelled
-}
-
 func (in *Intake) cached(id string) (string, bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/internal/intake/replica.go
+++ b/internal/intake/replica.go
@@ -23,6 +23,7 @@
 	store *statestore.Client
 	gap   time.Duration // least time between two reads
 	wake  chan struct{}
+	learn func(cancelled []string, asOf time.Time) // jobs newly found cancelled by a read sent then
 
 	mu      sync.Mutex
 	waiting *round
@@ -40,23 +41,25 @@
 type view struct {
 	known     bool // its record has been seen, not only chunks
 	cancelled bool
+	learnt    bool // that was passed on
 	broken    bool // its record cannot be read, so nothing is told of it
 	rev       uint64
 	chunks    map[int]tally
 }
 
-// tally counts one chunk's tasks.
+// tally is what is told of one chunk's tasks, and where the live ones are.
 type tally struct {
-	rev        uint64
-	done, live int
+	rev  uint64
+	done int
+	live []ledger.Place
 }
 
 // readShare is the part of the state service's rate that one node spends at most
 // on keeping its copy fresh while users ask.
 const readShare = 0.1
 
-func newReplica(store *statestore.Client, rps float64) *replica {
-	return &replica{store: store, gap: time.Duration(float64(time.Second) / (readShare * rps)),
+func newReplica(store *statestore.Client, rps float64, learn func([]string, time.Time)) *replica {
+	return &replica{store: store, learn: learn, gap: time.Duration(float64(time.Second) / (readShare * rps)),
 		wake: make(chan struct{}, 1), jobs: map[string]*view{}}
 }
 
@@ -115,6 +118,7 @@
 			return err
 		}
 	}
+	sent := time.Now()
 	rctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	events, rev, err := r.store.Changes(rctx, ledger.JobPrefix, r.rev)
@@ -125,11 +129,19 @@
 		return fmt.Errorf("intake: changes: %w", err)
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	for i := range events {
 		apply(r.jobs, &events[i])
 	}
 	r.rev = max(r.rev, rev)
+	var cancelled []string
+	for id, v := range r.jobs {
+		if v.cancelled && !v.learnt {
+			v.learnt = true
+			cancelled = append(cancelled, id)
+		}
+	}
+	r.mu.Unlock()
+	r.learn(cancelled, sent)
 	return nil
 }
 
@@ -181,7 +193,7 @@
 	case chunk >= 0 && e.Delete != "":
 		delete(v.chunks, chunk)
 	case chunk >= 0:
-		done, live, err := ledger.CountDone(e.Value)
+		done, live, err := ledger.ReadChunk(id, e.Value)
 		if err != nil {
 			slog.Error("chunk unreadable", "key", e.Put, "err", err)
 		}
@@ -218,10 +230,22 @@
 	st = status{ID: id, Status: pending}
 	for _, c := range v.chunks {
 		st.Done += c.done
-		st.Running += c.live
+		st.Running += len(c.live)
 	}
 	if st.Running > 0 {
 		st.Status = running
 	}
 	return st, true, nil
 }
+
+// places returns where tasks of an unfinished job may be, by the copy.
+func (r *replica) places(id string) (out []ledger.Place) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.jobs[id]; v != nil {
+		for _, c := range v.chunks {
+			out = append(out, c.live...)
+		}
+	}
+	return out
+}
--- a/internal/intake/replica_test.go
+++ b/internal/intake/replica_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"tulipshelf/internal/job"
 	"tulipshelf/internal/ledger"
@@ -17,7 +18,7 @@
 func TestCopyStandsUntilReadAnew(t *testing.T) {
 	const id = "wk-000001"
 	store := statestore.New(func(context.Context, string) (net.Conn, error) { return nil, errors.New("down") }, "", 100, 100)
-	r := newReplica(store, 100)
+	r := newReplica(store, 100, func([]string, time.Time) {})
 	record := wire.Marshal(ledger.Record{Spec: &job.Spec{ID: id}, Chunk: 1})
 	apply(r.jobs, &statestore.Event{Put: ledger.JobKey(id), Value: record, Rev: 7})
 	if err := r.load(context.Background()); err == nil {
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -168,7 +168,9 @@
 }
 
 // Name returns the protocol's name of the attempt's task.
-func (a *Attempt) Name() string { return a.Job.Spec.ID + "/" + strconv.Itoa(a.Task) }
+func (a *Attempt) Name() string { return taskName(a.Job.Spec.ID, a.Task) }
+
+func taskName(id string, task int) string { return id + "/" + strconv.Itoa(task) }
 
 type chunk struct {
 	n      int
@@ -437,15 +439,25 @@
 	return wire.Marshal(v)
 }
 
-// CountDone returns how many tasks a chunk's value says are done and live, for
-// display.
-func CountDone(value []byte) (done, live int, err error) {
+// Place is a live attempt by its record.
+type Place struct {
+	Task    string // the protocol's name
+	Try     uint64
+	Machine string
+	Session uint64
+}
+
+// ReadChunk returns how many tasks a chunk's value says are done, and its live attempts.
+func ReadChunk(id string, value []byte) (done int, live []Place, err error) {
 	var v chunkValue
 	if err := wire.Unmarshal(value, &v); err != nil {
-		return 0, 0, fmt.Errorf("ledger: chunk: %w", err)
+		return 0, nil, fmt.Errorf("ledger: chunk: %w", err)
+	}
+	for _, a := range v.Live {
+		live = append(live, Place{taskName(id, a.Task), a.Try, a.Machine, a.Session})
 	}
 	err = eachInRanges(v.Done, func(int) error { done++; return nil })
-	return done, len(v.Live), err
+	return done, live, err
 }
 
 // eachInRanges calls f for each number of a text such as "0-5,9".
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -209,9 +209,9 @@
 			b.End(a, true, t0)
 		}
 	}
-	done, live, err := CountDone(j.chunkValue(0))
-	if err != nil || done != 3 || live != 1 {
-		t.Fatalf("done %d, live %d, %v", done, live, err)
+	done, live, err := ReadChunk("wk-000001", j.chunkValue(0))
+	if err != nil || done != 3 || len(live) != 1 || live[0] != (Place{"wk-000001/1", 1<<termShift | 2, "vm-1", 1}) {
+		t.Fatalf("done %d, live %v, %v", done, live, err)
 	}
 	for _, bad := range []string{"x", "3-1", "-1", "1-", "0-999999999"} {
 		if eachInRanges(bad, func(int) error { return nil }) == nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,7 +1,8 @@
 // Package peer is what the controllers of one service tell each other, in
 // protobuf over HTTP: who leads, and which jobs have changed or are cancelled. It makes
-// learning faster, and it tells a leader that is cut off from the state service alone
-// that another one has been elected, or that jobs are cancelled.
+// learning faster, it tells a leader that is cut off from the state service alone that
+// another one has been elected or that jobs are cancelled, and it keeps what is known of
+// cancellations beyond the end of any one of them (package cancellation).
 package peer
 
 //go:generate sh -c "protoc --plugin=protoc-gen-go=$(go tool -n protoc-gen-go) --go_out=. --go_opt=paths=source_relative peer.proto"
@@ -15,6 +16,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"tulipshelf/internal/cancellation"
 	"tulipshelf/internal/wire"
 )
 
@@ -40,11 +42,15 @@
 	Changed func(jobs []string)                 // jobs changed elsewhere
 	Strays  func() int                          // machines that came to this node, which does not lead
 
-	Served       func() bool         // whether the state service serves this node
-	OwnCancelled func() []string     // jobs lately cancelled here
-	Cancelled    func(jobs []string) // and elsewhere
+	Served    func() bool            // whether the state service serves this node
+	Register  *cancellation.Register // of cancelled jobs
+	Cancelled func(jobs []string)    // jobs are news there
+	Gone      func() []*Attempt      // of cancelled jobs, though recorded as live
+	LearnGone func([]*Attempt)       // the same of another node
 
 	mu      sync.Mutex
+	rounds  map[string]*round        // beats to come for which somebody waits
+	wake    map[string]chan struct{} // sends one at once
 	began   time.Time
 	clients map[string]*wire.Client
 	heard   map[string]time.Time
@@ -53,6 +59,11 @@
 	served  map[string]bool      // whether the state service served a node when last heard
 }
 
+// round is one beat to come.
+type round struct {
+	done chan struct{} // closed once it was answered or has failed
+}
+
 const (
 	beatEvery = time.Second
 	timeout   = 800 * time.Millisecond
@@ -62,6 +73,10 @@
 func (n *Net) Run(ctx context.Context) {
 	n.mu.Lock()
 	n.began = time.Now()
+	n.rounds, n.wake = map[string]*round{}, map[string]chan struct{}{}
+	for _, o := range n.Others {
+		n.wake[o.Node] = make(chan struct{}, 1)
+	}
 	n.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, o := range n.Others {
@@ -69,9 +84,17 @@
 		go func() {
 			defer wg.Done()
 			for ctx.Err() == nil {
+				n.mu.Lock()
+				r := n.rounds[o.Node]
+				delete(n.rounds, o.Node)
+				n.mu.Unlock()
 				n.beat(ctx, o)
+				if r != nil {
+					close(r.done)
+				}
 				select {
 				case <-ctx.Done():
+				case <-n.wake[o.Node]:
 				case <-time.After(beatEvery*3/4 + rand.N(beatEvery/2)):
 				}
 			}
@@ -80,6 +103,54 @@
 	wg.Wait()
 }
 
+// Spread sees to it that a majority of the controllers holds a job's cancellation, and
+// tells whether it does. Those that wait at once share a beat.
+func (n *Net) Spread(ctx context.Context, id string) bool {
+	if n.Register.Held(id) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	over := make(chan struct{}, len(n.Others))
+	for _, o := range n.Others {
+		done := n.join(o)
+		go func() {
+			select {
+			case <-done:
+			case <-ctx.Done():
+			}
+			over <- struct{}{}
+		}()
+	}
+	for range n.Others {
+		<-over
+		if n.Register.Held(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// join returns what is closed after the next beat to another controller that begins
+// from now on.
+func (n *Net) join(o Other) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.wake[o.Node] == nil {
+		return nil // not running
+	}
+	r := n.rounds[o.Node]
+	if r == nil {
+		r = &round{make(chan struct{})}
+		n.rounds[o.Node] = r
+		select {
+		case n.wake[o.Node] <- struct{}{}:
+		default:
+		}
+	}
+	return r.done
+}
+
 // Heard tells whether a node has been heard within d, or might have been had
 // this node run for so long.
 func (n *Net) Heard(node string, d time.Duration) bool {
@@ -130,9 +201,22 @@
 	return nobody
 }
 
-func (n *Net) own() []byte {
+// own returns this node's beat, and the number of the last cancellation in it.
+func (n *Net) own() ([]byte, uint64) {
 	leader, term := n.Known()
-	return marshal(&Beat{Node: n.Node, Term: term, Leader: leader, Strays: uint32(n.Strays()), Cancelled: n.OwnCancelled(), Served: n.Served()})
+	s := n.Register.State()
+	b := &Beat{Node: n.Node, Term: term, Leader: leader, Strays: uint32(n.Strays()), Served: n.Served(),
+		Cancelled: s.Jobs, Gone: n.Gone(), MemoryMs: uint64(s.Memory.Milliseconds())}
+	if s.Knows {
+		b.KnownMs = uint64(s.Age.Milliseconds()) + 2 // rounded up, and one more
+	}
+	return marshal(b), s.Seq
+}
+
+// statement returns what a beat says of cancellations.
+func statement(b *Beat) cancellation.Statement {
+	return cancellation.Statement{Jobs: b.Cancelled, Memory: time.Duration(b.MemoryMs) * time.Millisecond,
+		Age: time.Duration(b.KnownMs) * time.Millisecond, Knows: b.KnownMs != 0}
 }
 
 func marshal(m proto.Message) []byte {
@@ -171,7 +255,9 @@
 }
 
 func (n *Net) beat(ctx context.Context, o Other) {
-	body, ok := n.post(ctx, o, beatPath, n.own())
+	sent := time.Now()
+	own, seq := n.own()
+	body, ok := n.post(ctx, o, beatPath, own)
 	if !ok {
 		return
 	}
@@ -179,6 +265,7 @@
 	if !ok {
 		return
 	}
+	n.Register.Answered(o.Node, seq, sent, statement(b))
 	// Only the answer to one's own beat is a sign of life. One that comes in may be a
 	// late copy: taken for a sign, it kept workers waiting for a leader that could not
 	// be reached until their leases ran out (TestRepeats).
@@ -202,7 +289,10 @@
 		return nil, false
 	}
 	n.Learned(b.Leader, b.Term)
-	n.Cancelled(b.Cancelled)
+	if news := n.Register.Note(b.Cancelled...); len(news) > 0 {
+		n.Cancelled(news)
+	}
+	n.LearnGone(b.Gone)
 	return &b, true
 }
 
@@ -230,7 +320,8 @@
 		if _, ok := n.take(req.Body); !ok {
 			return wire.Response{Status: 400}
 		}
-		return wire.Response{Status: 200, Body: n.own()}
+		own, _ := n.own()
+		return wire.Response{Status: 200, Body: own}
 	case changedPath:
 		var c Changed
 		if err := proto.Unmarshal(req.Body, &c); err != nil {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -24,8 +25,10 @@
 	down    bool
 	lose    int // answers of so many transactions to come are lost after they were applied
 	late    []func()
-	hold    int // so many transactions to come are held back and go unanswered
-	every   int // of so many transactions one goes unanswered and is applied late; 0: none
+	hold    int    // so many transactions to come are held back and go unanswered
+	holdKey string // only those that change a key which begins so
+	downKey string // an outage begins once a key is changed that begins so; "": it does not
+	every   int    // of so many transactions one goes unanswered and is applied late; 0: none
 	count   int
 	changes int // puts and deletes so far
 	asked   int // requests so far
@@ -51,6 +54,10 @@
 func (s *Store) Down(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.outage(down)
+}
+
+func (s *Store) outage(down bool) {
 	s.down = down
 	for _, l := range s.leases {
 		if down {
@@ -61,6 +68,14 @@
 	}
 }
 
+// DownAfter begins an outage with the next transaction, answered still, that changes a
+// key with the given prefix.
+func (s *Store) DownAfter(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.downKey = prefix
+}
+
 // LoseAnswers applies the next n transactions without answering them.
 func (s *Store) LoseAnswers(n int) {
 	s.mu.Lock()
@@ -68,11 +83,12 @@
 	s.lose = n
 }
 
-// HoldBack keeps the next n transactions, unanswered, until Release.
-func (s *Store) HoldBack(n int) {
+// HoldBack keeps the next n transactions that change a key with the given prefix,
+// unanswered, until Release.
+func (s *Store) HoldBack(n int, prefix string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hold = n
+	s.hold, s.holdKey = n, prefix
 }
 
 // Release applies what was held back, late.
@@ -242,7 +258,7 @@
 	case s.every > 0 && s.count%s.every == 0:
 		time.AfterFunc(time.Duration(2+s.count%11)*time.Second, later)
 		return wire.Response{Status: drop}
-	case s.hold > 0:
+	case s.hold > 0 && changes(body, s.holdKey):
 		s.hold--
 		s.late = append(s.late, later)
 		return wire.Response{Status: drop}
@@ -254,6 +270,16 @@
 	return s.apply(body)
 }
 
+// changes tells whether a transaction changes a key that begins with prefix.
+func changes(body []byte, prefix string) bool {
+	var in struct {
+		Then []statestore.Op `cbor:"then"`
+	}
+	return wire.Unmarshal(body, &in) == nil && slices.ContainsFunc(in.Then, func(o statestore.Op) bool {
+		return strings.HasPrefix(o.Put+o.Delete, prefix)
+	})
+}
+
 func (s *Store) apply(body []byte) wire.Response {
 	var in struct {
 		When []statestore.Cond `cbor:"when"`
@@ -287,6 +313,10 @@
 			s.event(statestore.Event{Delete: op.Delete, Rev: s.rev})
 		}
 	}
+	if s.downKey != "" && changes(body, s.downKey) {
+		s.downKey = ""
+		s.outage(true)
+	}
 	return ok(map[string]uint64{"epoch": s.rev})
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -46,6 +46,18 @@
 	return len(r.on)
 }
 
+// OnOf returns how many tasks of a job are on machines.
+func (r *Referee) OnOf(id string) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for task := range r.on {
+		if of, _, _ := fleet.SplitTask(task); of == id {
+			n++
+		}
+	}
+	return n
+}
+
 // Ended tells whether a task has completed.
 func (r *Referee) Ended(task string) bool {
 	r.mu.Lock()
