--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,58 @@
 	client  atomic.Int64
 	rps     float64 // that the state service allows
 	limit   float64 // CPUs that the team may use
+	zones   []string
+	told    told
+}
+
+// told keeps what users were told of each job.
+type told struct {
+	mu      sync.Mutex
+	last    map[string]string // status by job
+	referee *standin.Referee
+}
+
+func (w *told) known(id string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.last[id]
+}
+
+// stage orders what may be told of a job: unknown, then unfinished, then its end.
+func stage(status string) int {
+	switch status {
+	case "":
+		return 0
+	case ledger.Done, ledger.Cancelled:
+		return 2
+	}
+	return 1
+}
+
+// take notes an answer about a job and says what is wrong with it, given what was known
+// before the question was sent.
+func (w *told) take(id, was string, resp wire.Response) string {
+	var st struct {
+		Status string `cbor:"status"`
+	}
+	if resp.Status != 404 && (resp.Status != 200 && resp.Status != 201 || wire.Unmarshal(resp.Body, &st) != nil || st.Status == "") {
+		return ""
+	}
+	if st.Status == ledger.Cancelled {
+		w.referee.Told(id)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	last := w.last[id]
+	switch {
+	case stage(st.Status) < stage(was):
+		return fmt.Sprintf("%q, was %q", st.Status, was)
+	case stage(last) == 2 && stage(st.Status) == 2 && st.Status != last:
+		return fmt.Sprintf("%q, was %q", st.Status, last)
+	case stage(st.Status) >= stage(last):
+		w.last[id] = st.Status
+	}
+	return ""
 }
 
 const (
@@ -52,7 +105,9 @@
 	slog.SetDefault(slog.New(slog.DiscardHandler))
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := &cluster{t: t, net: standin.NewNet(ctx), store: standin.NewStore(), referee: standin.NewReferee(), rps: 200, limit: 16}
+		c := &cluster{t: t, net: standin.NewNet(ctx), store: standin.NewStore(), referee: standin.NewReferee(), rps: 200, limit: 16, zones: []string{"a"}}
+		c.referee.Within = 51 * time.Second
+		c.told = told{last: map[string]string{}, referee: c.referee}
 		var names, addrs []string
 		for i := range 3 {
 			names, addrs = append(names, nodeName(i)), append(addrs, nodeAddr(i))
@@ -86,8 +141,9 @@
 }
 
 func (c *cluster) start(i int) {
-	s := &config.Settings{Node: nodeName(i), Zone: "a", Listen: nodeAddr(i), PeerListen: peerAddr(i),
-		CloudAddr: cloudAddr, StateAddr: stateAddr, Zones: []string{"a"},
+	c.referee.Limit("crew", c.limit)
+	s := &config.Settings{Node: nodeName(i), Zone: c.zones[i%len(c.zones)], Listen: nodeAddr(i), PeerListen: peerAddr(i),
+		CloudAddr: cloudAddr, StateAddr: stateAddr, Zones: c.zones,
 		Teams:     []config.Team{{Name: "crew", CPUs: 8, CPUsMax: c.limit, GPUsMax: math.Inf(1)}, {Name: "guests", CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}},
 		Workers:   config.Workers{Report: 3 * time.Second, Lease: 26 * time.Second, Cancel: 51 * time.Second},
 		State:     config.State{RPS: c.rps, WriteRPS: 60, ValueBytes: 8 << 10, TxnOps: 8},
@@ -95,7 +151,7 @@
 		Resources: config.Resources{CPUShare: 1, MemBytes: 1 << 27, MaxSockets: 1000}}
 	for k := range 3 {
 		if k != i {
-			s.Peers = append(s.Peers, config.Peer{Node: nodeName(k), Zone: "a", Addr: peerAddr(k)})
+			s.Peers = append(s.Peers, config.Peer{Node: nodeName(k), Zone: c.zones[k%len(c.zones)], Addr: peerAddr(k)})
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -174,7 +230,22 @@
 	return -1
 }
 
+// ask sends a user's request. No answer about a job may be older than one that was there
+// when the question was sent, whichever node gives it.
 func (c *cluster) ask(node int, method, path string, body []byte) wire.Response {
+	id, _, _ := strings.Cut(strings.TrimPrefix(path, "/v1/jobs/"), "/")
+	if path == "/v1/jobs" {
+		id, _ = job.DecodeID(body)
+	}
+	known := c.told.known(id)
+	resp := c.send(node, method, path, body)
+	if fault := c.told.take(id, known, resp); fault != "" {
+		c.t.Errorf("node %d, %s %s: %s", node, method, path, fault)
+	}
+	return resp
+}
+
+func (c *cluster) send(node int, method, path string, body []byte) wire.Response {
 	cl := wire.Client{Dial: c.net.Dial(fmt.Sprintf("user-%d", c.client.Add(1))), Addr: nodeAddr(node)}
 	defer cl.CloseIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- /dev/null
+++ b/internal/controller/together_test.go
@@ -0,0 +1,671 @@
+package controller
+
+// The rest of the meetings that the operators name. In all of them the referee watches
+// limits, zones, double starts and cancelled tasks, and no answer about a job may be older
+// than one that was there when it was asked for (cluster.ask).
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/standin"
+	"tulipshelf/internal/wire"
+)
+
+// jobID returns the id of the i-th job.
+func jobID(i int) string { return fmt.Sprintf("wk-%06d", i) }
+
+// isWorker tells whether an address is a worker's.
+func isWorker(addr string) bool { return strings.HasPrefix(addr, "10.1.") }
+
+// isNode tells whether an address is a controller's.
+func isNode(addr string) bool { return strings.HasPrefix(addr, "10.0.") }
+
+// mute lets no report of the machines that f names through; what is sent to them arrives.
+func (c *cluster) mute(f func(addr string) bool) {
+	c.net.Cut(func(from, to string) bool { return isWorker(from) && isNode(to) && f(from) })
+}
+
+// withTasks returns the workers that have tasks, and the first half of them.
+func (c *cluster) withTasks() (all, half []*standin.Worker) {
+	for _, w := range c.cloud.Machines() {
+		if w.Tasks() > 0 {
+			all = append(all, w)
+		}
+	}
+	return all, all[:len(all)/2]
+}
+
+// over waits until each job is in its final state.
+func (c *cluster) over(limit time.Duration, want map[string]string) {
+	c.t.Helper()
+	for id, s := range want {
+		c.until(id+" "+s, limit, func() bool { return c.status(rand.N(3), id) == s })
+	}
+}
+
+// Transactions are carried out at once and only their answers are lost, while other nodes
+// read and tell what they wrote: submissions, cancellations, starts, ends, elections.
+func TestAnswerLostWhileOthersRead(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.store.LoseOneIn(2)
+		want := map[string]string{}
+		for i := range 30 {
+			id := jobID(i)
+			sent := make(chan struct{})
+			go func() {
+				defer close(sent)
+				c.accept(time.Minute, i%3, submission(id, job.Array, 3, 4))
+			}()
+			c.until("another node knows it", time.Minute, func() bool { return c.status((i+1)%3, id) != "404" })
+			<-sent
+			want[id] = ledger.Done
+			if i%4 == 1 {
+				c.until("cancelled or done", time.Minute, func() bool {
+					return c.ask((i+2)%3, "POST", "/v1/jobs/"+id+"/abort", nil).Status == 200
+				})
+				c.until("told", time.Minute, func() bool { return stage(c.status(i%3, id)) == 2 })
+				want[id] = c.status(i%3, id)
+			}
+			if i%8 == 7 {
+				c.nextLeader()
+			}
+		}
+		c.store.LoseOneIn(0)
+		if n := c.store.Unanswered(); n < 15 {
+			t.Errorf("only %d transactions went unanswered", n)
+		}
+		c.over(2*time.Minute, want)
+	})
+}
+
+// Machines reach no controller, while direct commands still reach them: a cancelled task
+// there is gone in time, and what they could not keep runs elsewhere.
+func TestMuteMachines(t *testing.T) {
+	for name, share := range map[string]int{"some": 2, "all": 1} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(c *cluster) {
+				c.large()
+				c.runService(24)
+				c.accept(5*time.Second, 0, submission("wk-000002", job.Service, 8, 0))
+				c.until("both run", time.Minute, func() bool { return c.referee.On() == 32 })
+				_, half := c.withTasks()
+				mute := map[string]bool{}
+				for _, w := range c.cloud.Machines() {
+					if share == 1 || w.Addr == half[len(mute)%len(half)].Addr {
+						mute[w.Addr] = true
+					}
+				}
+				for _, w := range half {
+					mute[w.Addr] = true
+				}
+				asked := c.net.Asked(half[0].Addr)
+				c.mute(func(addr string) bool { return mute[addr] })
+				time.Sleep(time.Second)
+				c.abort(1, "wk-000001")
+				c.until("cancelled tasks gone", 51*time.Second, func() bool { return c.referee.OnOf("wk-000001") == 0 })
+				if c.net.Asked(half[0].Addr) == asked {
+					t.Error("no direct request came to a mute machine")
+				}
+				c.net.Cut(nil)
+				c.until("the other runs", 2*time.Minute, func() bool { return c.referee.OnOf("wk-000002") == 8 })
+			})
+		})
+	}
+}
+
+// A team is at its limit, its jobs are cancelled while half of its machines hang or are cut
+// off, and the leader changes: what can't be asked counts until it is proven gone (the
+// referee adds up), and then others of the team run.
+func TestLimitAcrossLeaders(t *testing.T) {
+	for name, hang := range map[string]bool{"hang": true, "cut off": false} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(c *cluster) {
+				c.cloud.Capacity = 24
+				time.Sleep(2 * time.Second)
+				for i := range 4 {
+					c.accept(5*time.Second, i%3, submission(jobID(i), job.Service, 4, 0))
+				}
+				c.until("at the limit", time.Minute, func() bool { return c.referee.On() == 16 })
+				c.accept(5*time.Second, 0, submission("wk-000010", job.Array, 32, 10))
+				_, half := c.withTasks()
+				off := map[string]bool{}
+				for _, w := range half {
+					w.Hang(hang)
+					off[w.Addr] = true
+				}
+				if !hang {
+					c.net.Cut(func(from, to string) bool { return off[from] || off[to] })
+				}
+				for i := range 4 {
+					c.abort(i%3, jobID(i))
+				}
+				term := c.nodes[c.leader()].lead.Load().reign.Term()
+				c.nextLeader()
+				if on := c.referee.On(); on == 0 {
+					t.Error("nothing was left on the machines that can't be asked")
+				}
+				if now := c.nodes[c.leader()].lead.Load().reign.Term(); now <= term {
+					t.Errorf("term %d after %d", now, term)
+				}
+				c.until("array done", 3*time.Minute, c.done("wk-000010"))
+				c.net.Cut(nil)
+			})
+		})
+	}
+}
+
+// All controllers are away for longer than a lease: what ran is lost, nothing that was
+// accepted is, and all runs again or is done.
+func TestAllAwayLongerThanLease(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.runService(6)
+		c.accept(5*time.Second, 1, submission("wk-000002", job.Array, 8, 30))
+		c.accept(5*time.Second, 1, submission("wk-000003", job.Service, 2, 0))
+		c.until("all run", time.Minute, func() bool { return c.referee.On() == 16 })
+		c.abort(2, "wk-000003")
+		for i := range 3 {
+			c.kill(i)
+		}
+		time.Sleep(40 * time.Second)
+		if n := c.referee.On(); n != 0 {
+			t.Errorf("%d tasks on after their leases", n)
+		}
+		for i := range 3 {
+			c.start(i)
+		}
+		c.until("service whole", time.Minute, func() bool { return c.referee.OnOf("wk-000001") == 6 })
+		c.over(2*time.Minute, map[string]string{"wk-000002": ledger.Done, "wk-000003": ledger.Cancelled})
+		if n := c.referee.Begun()["wk-000003/0"]; n != 1 {
+			t.Errorf("a cancelled task was started %d times", n)
+		}
+	})
+}
+
+// Old reports reach every controller just as a new leader begins, before any newer one, or
+// once it has acted: they bring back nothing that has ended, and end nothing that runs.
+func TestOldReportsAtNewLeader(t *testing.T) {
+	for name, acted := range map[string]bool{"as it begins": false, "once it has acted": true} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(c *cluster) {
+				time.Sleep(2 * time.Second)
+				c.runService(4)
+				c.accept(5*time.Second, 0, submission("wk-000002", job.Array, 8, 4))
+				c.until("array runs", time.Minute, func() bool { return c.referee.OnOf("wk-000002") > 0 })
+				var old [][]byte
+				for _, w := range c.cloud.Machines() {
+					old = append(old, w.Copy()) // its tasks run, and the next ones are not there
+				}
+				c.until("array done", time.Minute, c.done("wk-000002"))
+				c.accept(5*time.Second, 0, submission("wk-000003", job.Array, 8, 25))
+				c.until("the next one runs", time.Minute, func() bool { return c.referee.OnOf("wk-000003") == 8 })
+				if !acted {
+					c.mute(func(string) bool { return true })
+				}
+				c.nextLeader()
+				if acted {
+					c.accept(5*time.Second, 0, submission("wk-000004", job.Array, 2, 25))
+					c.until("it has acted", time.Minute, func() bool { return c.referee.OnOf("wk-000004") == 2 })
+				}
+				taken := 0
+				for i := range 3 {
+					for _, body := range old {
+						if c.send(i, "POST", "/v1/report", body).Status == 200 {
+							taken++
+						}
+					}
+				}
+				if taken == 0 {
+					t.Error("the new leader took no old report")
+				}
+				time.Sleep(3 * time.Second)
+				c.net.Cut(nil)
+				c.until("done", 2*time.Minute, c.done("wk-000003"))
+				if n := c.referee.OnOf("wk-000001"); n != 4 {
+					t.Errorf("%d of 4 replicas on", n)
+				}
+				c.startedOnce()
+			})
+		})
+	}
+}
+
+// New machines are up at once and get work while writes lag, and the leader ends.
+func TestFastMachinesLateWrites(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.cloud.Type.BootS, c.cloud.Capacity = 0.5, 24
+		time.Sleep(2 * time.Second)
+		c.store.LateWrites(3)
+		want := map[string]string{}
+		for i := range 6 {
+			begin := time.Now()
+			c.store.HoldBack(20, ledger.JobKey(jobID(i))+"/")
+			c.accept(time.Minute, i%3, submission(jobID(i), job.Array, 8, 6))
+			want[jobID(i)] = ledger.Done
+			time.Sleep(5 * time.Second)
+			if n := c.referee.OnOf(jobID(i)); n != 0 {
+				t.Errorf("%d tasks begun whose starts are not recorded", n)
+			}
+			c.store.HoldBack(0, "")
+			c.until("tasks begin", time.Minute, func() bool { return c.referee.OnOf(jobID(i)) > 0 })
+			// The next leader does not hear of them for a while, and has room elsewhere.
+			busy := map[string]bool{}
+			all, _ := c.withTasks()
+			for _, w := range all {
+				busy[w.Addr] = true
+			}
+			c.net.Cut(func(from, to string) bool { return busy[from] || busy[to] })
+			if i == 0 && time.Since(begin) > 20*time.Second {
+				t.Errorf("first tasks begin after %v", time.Since(begin))
+			}
+			c.nextLeader()
+			time.Sleep(14 * time.Second)
+			c.net.Cut(nil)
+			c.store.Release() // what the earlier leader wrote of them
+		}
+		if n := c.store.Unanswered(); n < 10 {
+			t.Errorf("only %d writes were late", n)
+		}
+		c.store.LateWrites(0)
+		c.over(3*time.Minute, want)
+	})
+}
+
+// Users ask at all nodes, again and again within milliseconds, and repeat the submission,
+// right after a job was accepted, ended or confirmed as cancelled; some cancel at once.
+func TestCloseLooks(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.rps = 400
+		c.restartAll()
+		time.Sleep(2 * time.Second)
+		var wg sync.WaitGroup
+		answered := 0
+		var mu sync.Mutex
+		look := func(id string, m map[string]any) {
+			for k := range 12 {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					time.Sleep(time.Duration(k/3) * 2 * time.Millisecond)
+					ok := false
+					if k%4 == 3 {
+						s := c.submit(k%3, m)
+						ok = s == 200
+						if s == 201 || s == 404 {
+							t.Errorf("repeated submission of %s: %d", id, s)
+						}
+					} else {
+						s := c.status(k%3, id)
+						ok = s != "503"
+						if s == "404" {
+							t.Errorf("%s is unknown", id)
+						}
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					if ok {
+						answered++
+					}
+				}()
+			}
+		}
+		for i := range 30 {
+			id := jobID(i)
+			m := submission(id, job.Array, 1, 2)
+			c.accept(10*time.Second, i%3, m)
+			look(id, m)
+			if i%3 == 0 {
+				if i%6 == 0 {
+					time.Sleep(time.Second)
+				}
+				c.until("cancelled or done", 10*time.Second, func() bool { return c.ask((i+1)%3, "POST", "/v1/jobs/"+id+"/abort", nil).Status == 200 })
+				look(id, m)
+				continue
+			}
+			if i%3 == 1 {
+				c.until("done", time.Minute, c.done(id))
+				look(id, m)
+			}
+		}
+		wg.Wait()
+		if answered < 400 {
+			t.Errorf("only %d looks were answered", answered)
+		}
+	})
+}
+
+// Leaders change ten times in two minutes, also inside an outage, while jobs come and are
+// cancelled.
+func TestManyLeaders(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.runService(6)
+		want := map[string]string{}
+		first := c.nodes[c.leader()].lead.Load().reign.Term()
+		begin := time.Now()
+		for i := 2; i < 12; i++ {
+			c.accept(20*time.Second, i%3, submission(jobID(i), job.Array, 4, 15))
+			want[jobID(i)] = ledger.Done
+			if i%3 == 0 {
+				c.until("cancelled", 20*time.Second, func() bool { return c.ask(i%3, "POST", "/v1/jobs/"+jobID(i)+"/abort", nil).Status == 200 })
+				want[jobID(i)] = c.status(i%3, jobID(i))
+			}
+			if i == 5 || i == 8 {
+				// Two leaders in an outage: the one that ends, and one that finds its own name.
+				old := c.leader()
+				c.store.Down(true)
+				c.kill(old)
+				c.start(old)
+				time.Sleep(4 * time.Second)
+				c.store.Down(false)
+				c.until("a leader", 20*time.Second, func() bool { return c.leader() >= 0 })
+			} else {
+				c.nextLeader()
+			}
+			time.Sleep(time.Until(begin.Add(time.Duration(i-1) * 12 * time.Second)))
+		}
+		if took := time.Since(begin); took > 125*time.Second {
+			t.Errorf("ten changes took %v", took)
+		}
+		if last := c.nodes[c.leader()].lead.Load().reign.Term(); last < first+10 {
+			t.Errorf("terms %d to %d", first, last)
+		}
+		c.over(3*time.Minute, want)
+		if n := c.referee.OnOf("wk-000001"); n != 6 {
+			t.Errorf("%d of 6 replicas on", n)
+		}
+	})
+}
+
+// The state service answers slowly while users cancel and ask: they are answered all the
+// same, leases go on, and cancelled tasks are gone in time.
+func TestSlowStateService(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.runService(8)
+		c.accept(5*time.Second, 0, submission("wk-000002", job.Service, 4, 0))
+		c.until("both run", time.Minute, func() bool { return c.referee.On() == 12 })
+		c.store.Slow(350 * time.Millisecond)
+		time.Sleep(40 * time.Second)
+		c.until("cancelled", 10*time.Second, func() bool { return c.ask(1, "POST", "/v1/jobs/wk-000001/abort", nil).Status == 200 })
+		answered := 0
+		for i := range 20 {
+			if s := c.status(i%3, "wk-000002"); s == "running" {
+				answered++
+			}
+			time.Sleep(time.Second)
+		}
+		if answered < 15 {
+			t.Errorf("%d of 20 questions answered", answered)
+		}
+		if n := c.referee.OnOf("wk-000001"); n != 0 {
+			t.Errorf("%d cancelled tasks on", n)
+		}
+		c.store.Slow(0)
+		if n := c.referee.OnOf("wk-000002"); n != 4 || c.referee.Begun()["wk-000002/0"] != 1 {
+			t.Errorf("%d of 4 replicas on, started %d times", n, c.referee.Begun()["wk-000002/0"])
+		}
+	})
+}
+
+// Jobs are cancelled in the seconds in which one leader's work passes to the next.
+func TestCancelDuringHandOver(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.large()
+		const jobs = 24
+		for i := range jobs {
+			c.accept(5*time.Second, i%3, submission(jobID(i), job.Service, 2, 0))
+		}
+		c.until("all run", time.Minute, func() bool { return c.referee.On() == 2*jobs })
+		time.Sleep(12 * time.Second)
+		old := c.leader()
+		c.store.Slow(100 * time.Millisecond) // so that starts are on their way for a while
+		c.net.Cut(func(from, to string) bool {
+			return isWorker(from) && to == nodeAddr(old) || from == nodeAddr(old) && isWorker(to)
+		})
+		under := map[int]int{} // cancellations by who led
+		for i := range jobs {
+			time.Sleep(500 * time.Millisecond)
+			under[c.leader()]++
+			c.until("cancelled", 10*time.Second, func() bool { return c.ask(i%3, "POST", "/v1/jobs/"+jobID(i)+"/abort", nil).Status == 200 })
+			// And one that has only just come.
+			small := submission(jobID(100+i), job.Array, 8, 60)
+			small["cpus"], small["ram_gb"] = 0.25, 0.5
+			if i%4 == 0 {
+				c.store.HoldBack(3, ledger.JobKey(jobID(100+i))+"/") // its starts are not recorded for a while
+			}
+			c.accept(10*time.Second, i%3, small)
+			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			c.until("cancelled", 10*time.Second, func() bool { return c.ask((i+1)%3, "POST", "/v1/jobs/"+jobID(100+i)+"/abort", nil).Status == 200 })
+		}
+		if under[old] < 5 || under[old] > jobs-5 {
+			t.Errorf("cancelled by who led: %v, at first %d", under, old)
+		}
+		c.until("all halted, without waiting for machines to be returned", 15*time.Second, func() bool { return c.referee.On() == 0 })
+		c.net.Cut(nil)
+		c.store.Slow(0)
+		c.until("all ends recorded", time.Minute, func() bool { return len(c.store.Keys(ledger.JobPrefix)) == 0 })
+		if n := c.referee.Late(); n != 0 {
+			t.Errorf("%d tasks were started after their cancellation was told", n)
+		}
+	})
+}
+
+// More work than room, urgent and not, over slow links: limits hold, what is urgent runs
+// first, and all is done in the end.
+func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		slow := func(from, to string) time.Duration {
+			if isWorker(from) || isWorker(to) {
+				return 1200 * time.Millisecond
+			}
+			return 0
+		}
+		c.net.Hold(slow)
+		c.net.HoldAnswers(slow)
+		want := map[string]string{}
+		for i := range 6 {
+			m := submission(jobID(i), job.Array, 20, 6)
+			if i%2 == 1 {
+				m["rank"] = "best_effort"
+			}
+			c.accept(10*time.Second, i%3, m)
+			want[jobID(i)] = ledger.Done
+		}
+		time.Sleep(20 * time.Second)
+		urgent := submission("wk-000010", job.Service, 8, 0)
+		urgent["rank"] = "high"
+		c.accept(10*time.Second, 0, urgent)
+		c.until("the urgent service runs", 40*time.Second, func() bool { return c.referee.OnOf("wk-000010") == 8 })
+		if c.status(0, jobID(0)) == ledger.Done && c.status(0, jobID(1)) == ledger.Done && c.status(0, jobID(5)) == ledger.Done {
+			t.Error("there was room for all")
+		}
+		c.net.Hold(nil)
+		c.net.HoldAnswers(nil)
+		c.over(5*time.Minute, want)
+	})
+}
+
+// One-task jobs come four a second for minutes, a quarter of them cancelled.
+func TestStreamOfTinyJobs(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.large()
+		const jobs = 480
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		want := map[string]string{}
+		for i := range jobs {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				id := jobID(i)
+				c.accept(time.Minute, i%3, submission(id, job.Array, 1, 3))
+				s := ledger.Done
+				if i%4 == 0 {
+					time.Sleep(time.Duration(i%5) * time.Second)
+					var st struct {
+						Status string `cbor:"status"`
+					}
+					c.until("cancelled or done", time.Minute, func() bool {
+						resp := c.ask((i+1)%3, "POST", "/v1/jobs/"+id+"/abort", nil)
+						return resp.Status == 200 && wire.Unmarshal(resp.Body, &st) == nil
+					})
+					s = st.Status
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				want[id] = s
+			}()
+			time.Sleep(250 * time.Millisecond)
+		}
+		wg.Wait()
+		c.over(2*time.Minute, want)
+		cancelled := 0
+		for _, s := range want {
+			if s == ledger.Cancelled {
+				cancelled++
+			}
+		}
+		if cancelled < jobs/10 {
+			t.Errorf("only %d of %d were cancelled before they were done", cancelled, jobs)
+		}
+	})
+}
+
+// A cancellation, a question or a repeated submission meets the end of a job's last task:
+// what is told first stands.
+func TestMeetsTheEnd(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.rps = 400
+		c.restartAll()
+		time.Sleep(2 * time.Second)
+		c.runService(4) // machines are there
+		states := map[string]int{}
+		for i := 10; i < 60; i++ {
+			id := jobID(i)
+			m := submission(id, job.Array, 1, 3)
+			c.accept(10*time.Second, i%3, m)
+			c.until("it runs", 20*time.Second, func() bool { return c.referee.OnOf(id) == 1 })
+			if i == 20 {
+				c.store.Slow(60 * time.Millisecond) // so that more is on its way at once
+			}
+			time.Sleep(3*time.Second - 20*time.Millisecond + time.Duration(i%20)*40*time.Millisecond)
+			var wg sync.WaitGroup
+			for k := range 3 {
+				wg.Add(2)
+				go func() {
+					defer wg.Done()
+					c.ask(k, "POST", "/v1/jobs/"+id+"/abort", nil)
+				}()
+				go func() {
+					defer wg.Done()
+					c.status(k, id)
+					c.submit(k, m)
+				}()
+			}
+			wg.Wait()
+			c.until("over", 20*time.Second, func() bool { return stage(c.status(i%3, id)) == 2 })
+			states[c.status(i%3, id)]++
+		}
+		if states[ledger.Done] == 0 || states[ledger.Cancelled] == 0 {
+			t.Errorf("the end was not met: %v", states)
+		}
+	})
+}
+
+// zoned starts the controllers anew in two zones: node i is in zone i%2.
+func (c *cluster) zoned() {
+	c.cloud.Type.Zones = []string{"a", "b"}
+	c.zones = []string{"a", "b"}
+	c.large()
+}
+
+// A zone with workers and a controller is cut off for longer than a lease, while jobs there
+// are cancelled: their tasks are gone in time, the others are kept.
+func TestZoneCutOff(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.zoned()
+		for i, z := range []string{"b", "b", "a"} {
+			m := submission(jobID(i), job.Service, 8, 0)
+			m["depot"] = z
+			c.accept(5*time.Second, i, m)
+		}
+		c.until("all run", time.Minute, func() bool { return c.referee.On() == 24 })
+		c.until("a leader in zone a", 2*time.Minute, func() bool {
+			if c.leader() == 1 {
+				c.nextLeader()
+			}
+			return c.leader() >= 0 && c.leader() != 1
+		})
+		time.Sleep(15 * time.Second)
+		inside := map[string]bool{nodeAddr(1): true, peerAddr(1): true}
+		for _, w := range c.cloud.Machines() {
+			if w.Zone == "b" {
+				inside[w.Addr] = true
+			}
+		}
+		c.net.Cut(func(from, to string) bool { return inside[from] != inside[to] })
+		cut := time.Now()
+		c.abort(0, jobID(0))
+		c.until("cancelled tasks gone", 51*time.Second, func() bool { return c.referee.OnOf(jobID(0)) == 0 })
+		time.Sleep(time.Until(cut.Add(40 * time.Second)))
+		c.net.Cut(nil)
+		c.until("the others whole", 2*time.Minute, func() bool { return c.referee.OnOf(jobID(1)) == 8 && c.referee.OnOf(jobID(2)) == 8 })
+		if n := c.referee.Begun()[jobID(2)+"/0"]; n != 1 {
+			t.Errorf("a replica outside was started %d times", n)
+		}
+	})
+}
+
+// Jobs bound to one zone, arrays too, lose machines: what is left goes on where its zone
+// is, and nothing starts in another while anything of it may be left.
+func TestZoneBoundJobsLoseMachines(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.zoned()
+		want := map[string]string{}
+		for i := range 6 {
+			shape, n, s := job.Array, 12, 20.0
+			if i%3 == 2 {
+				shape, n, s = job.Service, 4, 0
+			}
+			m := submission(jobID(i), shape, n, s)
+			switch i % 2 {
+			case 0:
+				m["same_place"] = true
+			case 1:
+				m["depot"] = "b"
+			}
+			c.accept(5*time.Second, i%3, m)
+			if shape == job.Array {
+				want[jobID(i)] = ledger.Done
+			}
+		}
+		c.until("they run", time.Minute, func() bool { return c.referee.On() >= 24 })
+		for round := range 3 {
+			all, _ := c.withTasks()
+			for k, w := range all {
+				if k%3 == round {
+					w.Hang(true)
+				}
+			}
+			if round == 1 {
+				c.nextLeader()
+			}
+			time.Sleep(12 * time.Second)
+		}
+		c.over(4*time.Minute, want)
+		c.until("services whole", 2*time.Minute, func() bool { return c.referee.OnOf(jobID(2)) == 4 && c.referee.OnOf(jobID(5)) == 4 })
+		if len(c.cloud.Returned()) == 0 {
+			t.Error("no machine was lost")
+		}
+	})
+}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -24,6 +24,7 @@
 	delays  []time.Duration // after which each request is delivered once more
 	asked   map[string]int  // requests by server
 	hold    func(from, to string) time.Duration
+	linger  func(from, to string) time.Duration
 }
 
 // NewNet returns a network without servers that lasts until ctx ends.
@@ -75,6 +76,13 @@
 	n.hold = hold
 }
 
+// HoldAnswers makes the answers to requests leave so much later; nil ends that.
+func (n *Net) HoldAnswers(linger func(from, to string) time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.linger = linger
+}
+
 // Asked returns how many requests a server has had.
 func (n *Net) Asked(addr string) int {
 	n.mu.Lock()
@@ -136,8 +144,12 @@
 	return c.Conn.Close()
 }
 
-// drop is the status of an answer that is never sent.
-const drop = -1
+// Statuses of answers that are never sent: the connection ends, or it does after whoever
+// asked has given up.
+const (
+	drop = -1
+	hang = -2
+)
 
 func (n *Net) answer(from, addr string, c net.Conn, h wire.Handler) {
 	defer c.Close()
@@ -151,13 +163,19 @@
 		if err == nil {
 			n.again(addr, req)
 			n.mu.Lock()
-			hold := n.hold
+			hold, linger := n.hold, n.linger
 			n.mu.Unlock()
 			if hold != nil {
 				time.Sleep(hold(from, addr))
 			}
 			resp := h(ctx, &req)
-			if resp.Status == drop {
+			if linger != nil {
+				time.Sleep(linger(from, addr))
+			}
+			if resp.Status == hang {
+				time.Sleep(10 * time.Second)
+			}
+			if resp.Status == drop || resp.Status == hang {
 				return
 			}
 			if _, err := c.Write(wire.AppendResponse(nil, resp)); err != nil {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"strconv"
@@ -30,8 +31,12 @@
 	downKey string // an outage begins once a key is changed that begins so; "": it does not
 	every   int    // of so many transactions one goes unanswered and is applied late; 0: none
 	count   int
-	changes int // puts and deletes so far
-	asked   int // requests so far
+	atOnce  int // of so many transactions one is applied and goes unanswered; 0: none
+	luck    *rand.Rand
+	silent  int           // transactions so far that went unanswered
+	slow    time.Duration // that a request takes longer than usual
+	changes int           // puts and deletes so far
+	asked   int           // requests so far
 }
 
 type entry struct {
@@ -47,7 +52,8 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{keys: map[string]entry{}, changed: make(chan struct{}), leases: map[uint64]*lease{}, rev: 1}
+	return &Store{keys: map[string]entry{}, changed: make(chan struct{}), leases: map[uint64]*lease{}, rev: 1,
+		luck: rand.New(rand.NewPCG(7, 11))}
 }
 
 // Down starts or ends an outage. After it every lease has its full time again.
@@ -110,6 +116,28 @@
 	s.every = every
 }
 
+// LoseOneIn lets one in so many transactions go unanswered though it is applied; 0 ends
+// that.
+func (s *Store) LoseOneIn(every int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.atOnce = every
+}
+
+// Unanswered returns how many transactions have gone unanswered so far.
+func (s *Store) Unanswered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
+// Slow lets every request take so much longer.
+func (s *Store) Slow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
+
 // Changes returns how many puts and deletes have been asked for.
 func (s *Store) Changes() int {
 	s.mu.Lock()
@@ -146,8 +174,9 @@
 func (s *Store) Handle(ctx context.Context, req *wire.Request) wire.Response {
 	s.mu.Lock()
 	s.asked++
+	slow := s.slow
 	s.mu.Unlock()
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(5*time.Millisecond + slow)
 	q := query(req.Query)
 	if req.Path == "/changes" {
 		return s.watch(ctx, q)
@@ -254,19 +283,21 @@
 		s.apply(body)
 	}
 	s.count++
+	s.silent++
 	switch {
 	case s.every > 0 && s.count%s.every == 0:
 		time.AfterFunc(time.Duration(2+s.count%11)*time.Second, later)
-		return wire.Response{Status: drop}
+		return wire.Response{Status: hang}
 	case s.hold > 0 && changes(body, s.holdKey):
 		s.hold--
 		s.late = append(s.late, later)
 		return wire.Response{Status: drop}
-	case s.lose > 0:
-		s.lose--
+	case s.lose > 0, s.atOnce > 0 && s.luck.IntN(s.atOnce) == 0:
+		s.lose = max(0, s.lose-1)
 		s.apply(body)
 		return wire.Response{Status: drop}
 	}
+	s.silent--
 	return s.apply(body)
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -19,17 +19,66 @@
 
 // Referee watches the rules and keeps the jobs' descriptions for the workers.
 type Referee struct {
+	Within time.Duration // in which tasks of a cancelled job must be gone
+
 	mu     sync.Mutex
+	limits map[string]float64 // CPUs by team; a team that is not named has no limit
 	jobs   map[string]*job.Spec
-	on     map[string]string // task to the machine it is on
+	on     map[string]place // by task
+	told   map[string]time.Time
 	Faults []string
 	Starts map[string]int // by task
 	Done   map[string]bool
+	late   int // starts after a user was told of the cancellation
 }
 
+// place is where a task is.
+type place struct{ machine, zone string }
+
 // NewReferee returns a referee that has seen nothing.
 func NewReferee() *Referee {
-	return &Referee{jobs: map[string]*job.Spec{}, on: map[string]string{}, Starts: map[string]int{}, Done: map[string]bool{}}
+	return &Referee{jobs: map[string]*job.Spec{}, on: map[string]place{}, told: map[string]time.Time{},
+		limits: map[string]float64{}, Starts: map[string]int{}, Done: map[string]bool{}}
+}
+
+// Limit says how many CPUs a team may use at once.
+func (r *Referee) Limit(team string, cpus float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits[team] = cpus
+}
+
+// Told notes that a user was told that a job is cancelled.
+func (r *Referee) Told(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, before := r.told[id]; before {
+		return
+	}
+	r.told[id] = time.Now()
+	if r.Within > 0 {
+		time.AfterFunc(r.Within, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			for task := range r.on {
+				if of, _, _ := fleet.SplitTask(task); of == id {
+					r.fault("%s is on a machine %v after its cancellation was told", task, r.Within)
+				}
+			}
+		})
+	}
+}
+
+// Late returns how many tasks were started after a user was told that their job is
+// cancelled.
+func (r *Referee) Late() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.late
+}
+
+func (r *Referee) fault(format string, args ...any) {
+	r.Faults = append(r.Faults, fmt.Sprintf(format, args...))
 }
 
 // Know uploads a job's description, as users do.
@@ -72,7 +121,7 @@
 	return maps.Clone(r.Starts)
 }
 
-func (r *Referee) start(task, machine string) (*job.Spec, bool) {
+func (r *Referee) start(task string, at place) (*job.Spec, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id, _, _ := fleet.SplitTask(task)
@@ -81,17 +130,51 @@
 		return nil, false
 	}
 	if other, ok := r.on[task]; ok {
-		r.Faults = append(r.Faults, fmt.Sprintf("%s starts on %s while on %s", task, machine, other))
+		r.fault("%s starts on %s while on %s", task, at.machine, other.machine)
+	}
+	if told, ok := r.told[id]; ok {
+		r.late++
+		if r.Within > 0 && time.Since(told) > r.Within {
+			r.fault("%s starts %v after its cancellation was told", task, time.Since(told))
+		}
 	}
-	r.on[task] = machine
+	r.on[task] = at
 	r.Starts[task]++
+	r.place(task, id, s, at)
 	return s, true
 }
 
+// place checks limits and zones as a task starts.
+func (r *Referee) place(task, id string, s *job.Spec, at place) {
+	used, there := 0.0, 0
+	for other, p := range r.on {
+		of, _, _ := fleet.SplitTask(other)
+		spec := r.jobs[of]
+		if spec.Team == s.Team {
+			used += spec.CPUs
+		}
+		if of == id && p.zone == at.zone {
+			there++
+		}
+		if of == id && s.OneZone && p.zone != at.zone {
+			r.fault("%s starts in zone %s while %s is in %s", task, at.zone, other, p.zone)
+		}
+	}
+	if limit, ok := r.limits[s.Team]; ok && used > limit+1e-6 {
+		r.fault("%s starts and %s uses %g of %g CPUs", task, s.Team, used, limit)
+	}
+	if s.Zone != "" && s.Zone != at.zone {
+		r.fault("%s starts in zone %s, not in %s", task, at.zone, s.Zone)
+	}
+	if s.Apart && there > (s.Tasks+1)/2 {
+		r.fault("%s starts as number %d in zone %s", task, there, at.zone)
+	}
+}
+
 func (r *Referee) end(task, machine string, done bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.on[task] == machine {
+	if r.on[task].machine == machine {
 		delete(r.on, task)
 	}
 	r.Done[task] = r.Done[task] || done
@@ -394,7 +477,7 @@
 			return &task{status: fleet.Exited, cause: fleet.CauseInUse}
 		}
 	}
-	s, known := w.cloud.referee.start(k.task, w.Name)
+	s, known := w.cloud.referee.start(k.task, place{w.Name, w.Zone})
 	if !known {
 		return &task{status: fleet.Exited, cause: fleet.CauseNoJob}
 	}
