--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -57,13 +57,31 @@
 )
 
 // Workers holds the workers' fixed intervals.
-type Workers struct{ Report, Lease, Cancel time.Duration }
+type Workers struct {
+	Report, Lease, Cancel time.Duration
+
+	GangWait time.Duration // for which a task waits for the others of its gang; 0: not known
+	GangPeer time.Duration // within which a gang's tasks notice that one is gone; 0: not known
+}
 
 // State holds the limits of the state service.
 type State struct {
 	RPS, WriteRPS float64
 	ValueBytes    int
 	TxnOps        int
+
+	// Next holds what is lower from some moment on that nobody announces; nil: nothing.
+	Next *State
+}
+
+// Safe returns limits within which every value and transaction stays, before that moment
+// and after it. Rates are those of now: keeping the lower ones early costs starts, and
+// the service says when one is exceeded.
+func (s State) Safe() State {
+	if s.Next != nil {
+		s.ValueBytes, s.TxnOps = min(s.ValueBytes, s.Next.ValueBytes), min(s.TxnOps, s.Next.TxnOps)
+	}
+	return s
 }
 
 // Cloud holds the limits of the cloud.
@@ -150,10 +168,13 @@
 	}
 	w := params.object("workers")
 	s.Workers = Workers{seconds(w.number("report_s", 0.01, 1e4)), seconds(w.number("lease_s", 0.01, 1e5)),
-		seconds(w.number("cancel_s", 0.01, 1e5))}
+		seconds(w.number("cancel_s", 0.01, 1e5)), seconds(w.optional("gang_wait_s", 0.1, 1e5)), seconds(w.optional("gang_peer_s", 0.1, 1e4))}
 	st := params.object("state")
-	s.State = State{st.number("rps", 1, 1e9), st.number("write_rps", 1, 1e9),
-		int(st.number("value_kb", 1, 1024) * 1024), int(st.number("txn_ops", 3, 1e4))}
+	s.State = State{RPS: st.number("rps", 1, 1e9), WriteRPS: st.number("write_rps", 1, 1e9),
+		ValueBytes: int(st.number("value_kb", 1, 1024) * 1024), TxnOps: int(st.number("txn_ops", 3, 1e4))}
+	if st.fields["next"] != nil {
+		s.State.Next = st.object("next").lowered(s.State)
+	}
 	c := params.object("cloud")
 	s.Cloud = Cloud{c.number("rps", 0.01, 1e6), seconds(c.number("list_lag_s", 0, 1e4))}
 	res := params.object("resources")
@@ -243,6 +264,27 @@
 	return f
 }
 
+// lowered reads limits to come; what is not named stays.
+func (o object) lowered(now State) *State {
+	next := now
+	for name, f := range map[string]func(float64){
+		"rps":       func(v float64) { next.RPS = v },
+		"write_rps": func(v float64) { next.WriteRPS = v },
+		"value_kb":  func(v float64) { next.ValueBytes = int(v * 1024) },
+		"txn_ops":   func(v float64) { next.TxnOps = int(v) },
+	} {
+		least := 1.0
+		if name == "txn_ops" {
+			least = 3
+		}
+		if v := o.optional(name, least, 1e9); v != 0 {
+			f(v)
+		}
+	}
+	next.RPS, next.WriteRPS = min(next.RPS, now.RPS), min(next.WriteRPS, now.WriteRPS)
+	return &next
+}
+
 func (o object) optional(name string, least, most float64) float64 {
 	if o.fields[name] == nil {
 		return 0
--- /dev/null
+++ b/internal/controller/gang.go
@@ -0,0 +1,141 @@
+package controller
+
+import (
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"tulipshelf/internal/config"
+	"tulipshelf/internal/fleet"
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/rental"
+)
+
+// lasts tells whether a job's tasks do not end by themselves.
+func lasts(j *ledger.Job) bool { return j.Spec.Shape == job.Service }
+
+// mates returns how many tasks on other machines lose as much when one task stops.
+func (l *lead) mates(j *ledger.Job) int {
+	if j.Gang() {
+		return j.Spec.Tasks - 1
+	}
+	return 0
+}
+
+// tendGang withdraws an attempt to run a gang of which a part is gone: what is left only
+// holds room and waits, or ends by itself a little later. The gang starts anew once all of
+// it is proven gone.
+//
+// It guards against gangs that nobody completes: a leader that ends while it records or
+// sends the starts of one, a machine that dies before the others have begun.
+func (l *lead) tendGang(j *ledger.Job, now time.Time) {
+	if !j.Gang() || j.Cancelled || j.LiveTasks() == 0 || j.DoneTasks() > 0 || j.Whole() {
+		return
+	}
+	l.sweep(j, now)
+}
+
+// stopGang lets a gang save its progress and stop, if all of its machines can be told in
+// time; otherwise nobody is told, as a part would only lose the progress of all.
+func (l *lead) stopGang(j *ledger.Job, now time.Time) {
+	reach := true
+	j.Attempts(func(a *ledger.Attempt) {
+		m := l.machine(a.Machine, now)
+		h := m.HoldOf(a)
+		reach = reach && h != nil && l.reaches(m, now)
+	})
+	if !reach || j.DoneTasks() > 0 || !j.Whole() {
+		slog.Debug("gang not stopped", "job", j.Spec.ID)
+		return
+	}
+	j.Attempts(func(a *ledger.Attempt) {
+		m := l.machine(a.Machine, now)
+		m.Stop(m.HoldOf(a), j.Spec.SaveS)
+	})
+}
+
+// reaches tells whether a machine has been heard lately and gets what it is told.
+func (l *lead) reaches(m *fleet.Machine, now time.Time) bool {
+	return m.Known && !m.Gone && m.Via == "" && !m.Unreached && !m.Pushing && m.DeafSince.IsZero() && !m.Failed &&
+		now.Sub(m.Heard) < l.n.settings.Workers.Report*3/2
+}
+
+// gangPatience is for how long a gang waits before room is kept free for it: a part of the
+// time in which it should start.
+func (l *lead) gangPatience(j *ledger.Job) time.Duration {
+	patience := l.n.operator.Silent
+	for _, o := range l.n.settings.Objectives {
+		if o.Kind == config.KindWait && o.Class == j.Spec.Class && o.Within > 0 {
+			patience = min(patience, o.Within/startShare)
+		}
+	}
+	return patience
+}
+
+// gangKind is what a gang of a class needs.
+type gangKind struct {
+	spec  *job.Spec
+	state *jobState
+}
+
+// gangArrived notes what gangs usually bring.
+func (l *lead) gangArrived(j *ledger.Job) {
+	if j.At.After(l.recalled) {
+		l.gangs.Add(float64(j.Spec.Tasks)*size(l.jobs[j].need)*(l.expect(j)+l.fetchSeconds(j)), j.At)
+	}
+	if last := l.lastGangs[j.Spec.Class]; last.spec == nil || last.spec.Tasks <= j.Spec.Tasks {
+		l.lastGangs[j.Spec.Class] = gangKind{j.Spec, l.jobs[j]}
+	}
+}
+
+// gangReserve keeps room for gangs to come, which start at once or miss their aim: what
+// they usually use and do not use now, and the largest of each class that should start
+// sooner than a machine boots, whole and in one zone if it must be.
+func (l *lead) gangReserve(now time.Time) (out []rental.Demand) {
+	if l.gangs.Empty() {
+		return nil
+	}
+	usual := l.gangs.Rate(now)
+	if usual < 1 {
+		return nil
+	}
+	live := 0.0
+	l.book.Jobs(func(j *ledger.Job) {
+		if j.Gang() && l.jobs[j].team >= 0 && !j.Cancelled {
+			live += float64(j.Spec.Tasks) * size(l.jobs[j].need)
+		}
+	})
+	spare := usual - live
+	for _, class := range slices.Sorted(maps.Keys(l.lastGangs)) {
+		s, st := l.lastGangs[class].spec, l.lastGangs[class].state
+		n := 0
+		if l.soon(class) {
+			n = s.Tasks
+		}
+		if more := int(math.Ceil(spare / size(st.need))); more > n {
+			n = more
+		}
+		spare -= float64(n) * size(st.need)
+		if n > 0 {
+			out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Tasks: n})
+		}
+	}
+	return out
+}
+
+// soon tells whether tasks of a class should start sooner than a machine boots.
+func (l *lead) soon(class string) bool {
+	boot := 0.0
+	for i := range l.types {
+		boot = math.Max(boot, l.types[i].BootS)
+	}
+	for _, o := range l.n.settings.Objectives {
+		if o.Kind == config.KindWait && o.Class == class && o.Within > 0 && o.Within.Seconds() < boot {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -62,11 +62,13 @@
 	cutUntil   []time.Time // by zone: when it was last seen cut off
 	astray     time.Time   // since when machines go to another node; zero: they do not
 	offered    rental.Offered
+	gangs      rental.Offered // the same for gangs
 	learned    rental.Learned
 	recalled   time.Time       // up to when an earlier leader's estimates reach
 	failed     map[string]bool // jobs that failed on every machine under it
 	memoAt     time.Time       // when the estimates were last kept
 	lastArray  *jobState
+	lastGangs  map[string]gangKind // of each class that has come, the largest
 	rentSeq    int
 	relays     map[string]*relayed // by node
 	renting    map[string]string   // why machines were asked for, by request not yet answered
@@ -113,8 +115,9 @@
 		machines: map[*fleet.Machine]*machineState{}, jobs: map[*ledger.Job]*jobState{},
 		pushers: map[string]*wire.Client{},
 		blocked: map[pool]time.Time{}, renting: map[string]string{}, failed: map[string]bool{}, relays: map[string]*relayed{},
-		offered: rental.Offered{Memory: 150 * time.Second},
-		started: time.Now(), firstTerm: r.Term(),
+		offered: rental.Offered{Memory: 150 * time.Second}, gangs: rental.Offered{Memory: 150 * time.Second},
+		lastGangs: map[string]gangKind{},
+		started:   time.Now(), firstTerm: r.Term(),
 	}
 	for _, z := range n.settings.Zones {
 		l.zoneIndex[z] = len(l.zones)
@@ -316,6 +319,9 @@
 	}
 	l.jobs[j] = st
 	l.replan = true
+	if j.Gang() && !j.Cancelled && st.team >= 0 {
+		l.gangArrived(j)
+	}
 	if s.Shape == job.Array && !j.Cancelled && st.team >= 0 && !l.guest(j) {
 		if j.At.After(l.recalled) {
 			l.offered.Add(float64(s.Tasks)*size(st.need)*l.expect(j), j.At)
--- a/internal/controller/memo.go
+++ b/internal/controller/memo.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"tulipshelf/internal/relay"
 	"tulipshelf/internal/rental"
 	"tulipshelf/internal/statestore"
 	"tulipshelf/internal/wire"
@@ -17,7 +18,7 @@
 const (
 	memoKey    = "rental/memo"
 	memoEvery  = 10 * time.Second
-	maxFailing = 200 // jobs named in it
+	maxFailing = 200 // jobs named in it, as far as half of a value holds their names
 )
 
 // memo is its value. It names the jobs that fail on every machine, too: a new leader
@@ -25,21 +26,22 @@
 type memo struct {
 	Estimates rental.Memo `cbor:"estimates"`
 	Failing   []string    `cbor:"failing"`
+	Gangs     rental.Memo `cbor:"gangs"`
 }
 
 func (l *lead) keepMemo(now time.Time) {
-	if now.Sub(l.memoAt) < memoEvery || l.offered.Empty() || !l.reign.Valid() {
+	if now.Sub(l.memoAt) < memoEvery || l.offered.Empty() && l.gangs.Empty() || !l.reign.Valid() {
 		return
 	}
 	l.memoAt = now
-	m := memo{Estimates: rental.Remember(&l.offered, &l.learned)}
+	m := memo{Estimates: rental.Remember(&l.offered, &l.learned), Gangs: rental.Remember(&l.gangs, &rental.Learned{})}
 	for j, st := range l.jobs {
-		if st.failing() && len(m.Failing) < maxFailing {
+		if st.failing() && len(m.Failing) < min(maxFailing, l.n.settings.State.ValueBytes/2/16) {
 			m.Failing = append(m.Failing, j.Spec.ID)
 		}
 	}
 	fence, value := l.reign.Fence(), wire.Marshal(m)
-	if len(value) > l.n.settings.State.ValueBytes {
+	if len(value) > relay.Fill(l.n.settings.State.ValueBytes) {
 		return
 	}
 	l.spawn(func() {
@@ -64,6 +66,9 @@
 		return
 	}
 	m.Estimates.Recall(&l.offered, &l.learned)
+	if m.Gangs.CameMS > 0 {
+		m.Gangs.Recall(&l.gangs, &rental.Learned{})
+	}
 	l.recalled = time.UnixMilli(m.Estimates.LastMS)
 	for _, id := range m.Failing {
 		l.failed[id] = true
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -45,6 +45,9 @@
 	strays    recent // machines that have reported here though this node does not lead
 	cancelled *cancellation.Register
 	guard     guard
+
+	valueBytes atomic.Int64 // that a value may take, as far as the state service has shown
+	slowed     atomic.Bool  // whether the lower rates to come are kept
 }
 
 const reportPath = "/v1/report"
@@ -70,6 +73,10 @@
 	if net.Listen == nil {
 		net.Listen = func(ctx context.Context, s *wire.Server) error { return s.Run(ctx) }
 	}
+	now := s.State
+	safe := *s
+	safe.State = now.Safe()
+	s = &safe
 	n := &Node{
 		dial:     net.Dial,
 		listen:   net.Listen,
@@ -79,6 +86,10 @@
 		store:    statestore.New(net.Dial, s.StateAddr, s.State.RPS*nodeShare, s.State.WriteRPS*writeShare),
 		cloud:    cloud.New(net.Dial, s.CloudAddr, s.Cloud.RPS*cloudShare),
 	}
+	n.valueBytes.Store(int64(now.ValueBytes))
+	if now.Next != nil {
+		n.store.Refused = n.onRefused
+	}
 	n.cancelled = cancellation.New(len(s.Peers)+1, s.Workers.Cancel)
 	n.lodger = &relay.Lodger{Node: s.Node, Store: n.store, Dial: net.Dial, ValueBytes: s.State.ValueBytes, TxnOps: s.State.TxnOps}
 	n.candidate = &leadership.Candidate{Node: s.Node, TTL: o.LeaderLease, Store: n.store,
@@ -113,6 +124,20 @@
 	return n
 }
 
+// onRefused learns that the state service's limits are lower by now, as settings announce
+// without saying when. One request too many shows less than a value that is too large: only
+// rates follow from it.
+func (n *Node) onRefused(tooLarge bool) {
+	next := n.settings.State.Next
+	if !n.slowed.Swap(true) {
+		slog.Info("the state service allows fewer changes", "write_rps", next.WriteRPS)
+		n.store.Lower(next.RPS*nodeShare, next.WriteRPS*writeShare)
+	}
+	if tooLarge && n.valueBytes.Swap(int64(n.settings.State.ValueBytes)) != int64(n.settings.State.ValueBytes) {
+		slog.Info("the state service takes smaller values", "bytes", n.settings.State.ValueBytes)
+	}
+}
+
 // Run serves until ctx ends or a listener cannot be opened.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -218,7 +243,7 @@
 			n.types.Store(&types)
 			wait = time.Minute
 			value := wire.Marshal(catalogValue{types})
-			if n.lead.Load() == nil || bytes.Equal(value, kept) || len(value) > n.settings.State.ValueBytes {
+			if n.lead.Load() == nil || bytes.Equal(value, kept) || len(value) > relay.Fill(n.settings.State.ValueBytes) {
 				break
 			}
 			_, err := n.store.Txn(ctx, nil, []statestore.Op{{Put: catalogKey, Value: value}}, statestore.Rest)
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -35,9 +35,10 @@
 		if len(m.Holds) > 0 {
 			m.IdleSince = now
 		}
-		drain(m, now)
+		l.drain(m, now)
 	})
 	l.book.Jobs(func(j *ledger.Job) {
+		l.tendGang(j, now)
 		if j.Cancelled {
 			l.sweep(j, now)
 		} else if l.n.cancelled.Knows(j.Spec.ID) {
@@ -60,7 +61,7 @@
 // drain empties a machine that the cloud takes back. Services stop at once, since
 // they cannot start elsewhere before they are gone here; tasks that can save their
 // progress go on for as long as they can; the others may yet be done in time.
-func drain(m *fleet.Machine, now time.Time) {
+func (l *lead) drain(m *fleet.Machine, now time.Time) {
 	if m.Recall.IsZero() {
 		return
 	}
@@ -70,6 +71,10 @@
 		switch {
 		case s.Shape == job.Service:
 			m.Stop(h, s.SaveS)
+		case s.CheckpointS > 0 && h.Job.Gang():
+			if m.Recall.Sub(now) < save+saveLeeway+l.n.settings.Workers.GangPeer {
+				l.stopGang(h.Job, now)
+			}
 		case s.CheckpointS > 0 && m.Recall.Sub(now) < save+saveLeeway:
 			m.Stop(h, s.SaveS)
 		}
@@ -100,7 +105,8 @@
 			job := l.jobs[h.Job]
 			st.free = st.free.Add(job.need, -1)
 			st.tasks = append(st.tasks, placement.Task{ID: i, Need: job.need,
-				Priority: h.Job.Spec.Rank(), Team: job.team, Since: h.Since, Stopping: h.Stopping})
+				Priority: h.Job.Spec.Rank(), Team: job.team, Since: h.Since, Stopping: h.Stopping,
+				Mates: l.mates(h.Job), Lasts: lasts(h.Job)})
 		}
 	}
 	for _, h := range st.holds {
@@ -164,7 +170,7 @@
 	var waiting []*ledger.Job
 	l.book.Jobs(func(j *ledger.Job) {
 		// A gang starts anew only once all of it is gone: a part would wait in vain.
-		parted := j.Spec.Shape == job.Gang && j.LiveTasks() > 0
+		parted := j.Gang() && j.LiveTasks() > 0
 		if j.WaitingTasks() > 0 && !parted && l.jobs[j].team >= 0 && !now.Before(l.jobs[j].notBefore) {
 			waiting = append(waiting, j)
 		}
@@ -187,7 +193,7 @@
 		s := j.Spec
 		jobs[i] = placement.Job{Team: st.team, Priority: l.priority(j), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
 			Waiting: l.wanted(j), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
-			Gang: s.Shape == job.Gang, Tasks: s.Tasks,
+			Gang: j.Gang(), Hold: j.Gang() && now.Sub(j.At) > l.gangPatience(j), Tasks: s.Tasks,
 			Urgent: s.Shape == job.Service, Displace: l.displaces(j, now) && !beyond[j], Overdue: now.Sub(j.At) > beginBy && j.LiveTasks() == 0 && j.DoneTasks() == 0, Avoid: l.avoid(st)}
 		jobs[i].Image, jobs[i].Costly = l.images(j, images)
 		var known bool
@@ -200,7 +206,7 @@
 	tries := make([]uint64, len(waiting))
 	for _, a := range plan.Assign {
 		j, m := waiting[a.Job], l.fleet.At(a.Machine)
-		task := j.NextWaiting(next[a.Job])
+		task := j.NextStartable(next[a.Job], int(l.n.valueBytes.Load()))
 		next[a.Job] = task + 1
 		if tries[a.Job] == 0 || !jobs[a.Job].Gang {
 			tries[a.Job] = l.book.NextTry(l.reign.Term())
@@ -216,6 +222,10 @@
 	for _, s := range plan.Stops {
 		h := held[s.Machine][s.Task]
 		slog.Info("task preempted", "task", h.Name(), "machine", h.Machine, "for", waiting[s.For].Spec.ID)
+		if h.Job.Gang() {
+			l.stopGang(h.Job, now)
+			continue
+		}
 		l.fleet.At(s.Machine).Stop(h, h.Job.Spec.SaveS)
 	}
 	for _, n := range plan.Starved {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"tulipshelf/internal/fleet"
-	"tulipshelf/internal/job"
 	"tulipshelf/internal/ledger"
 	"tulipshelf/internal/wire"
 )
@@ -153,10 +152,10 @@
 // and as many writes for one, machines were rented for them, and they counted in their
 // team's guarantee before the good ones (operations of both ops deployments).
 func (l *lead) wanted(j *ledger.Job) int {
-	if l.jobs[j].failing() && j.Spec.Shape != job.Gang {
+	if l.jobs[j].failing() && !j.Gang() {
 		return min(1, j.WaitingTasks())
 	}
-	return j.WaitingTasks()
+	return j.Startable(int(l.n.valueBytes.Load()))
 }
 
 func (l *lead) outcome(m *fleet.Machine, o fleet.Outcome, now time.Time) {
@@ -164,6 +163,9 @@
 	slog.Debug("attempt ended", "task", a.Name(), "try", a.Try, "machine", m.Name, "cause", o.Cause)
 	l.book.End(a, o.Cause == fleet.CauseDone, now)
 	l.replan = true
+	if a.Job.Gang() && o.Cause != fleet.CauseDone {
+		l.tendGang(a.Job, now)
+	}
 	st := l.jobs[a.Job]
 	if st == nil {
 		return
--- a/internal/controller/sizing.go
+++ b/internal/controller/sizing.go
@@ -50,14 +50,21 @@
 		}
 		team.CPUsUsed += float64(n) * j.Spec.CPUs
 		team.GPUsUsed += float64(n) * j.Spec.GPUs
-		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: st.zone, Spot: j.Spec.Spot, Tasks: n})
+		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: st.zone, Spot: j.Spec.Spot, OneZone: j.Gang() && j.Spec.OneZone, Tasks: n})
 		return n
 	}
 	for _, j := range whole {
-		add(j, l.wanted(j))
+		switch team := &used[l.jobs[j].team]; {
+		case j.Gang() && j.LiveTasks() > 0:
+			// It starts anew where it was, or as a whole later.
+		case j.Gang() && within(j.Spec.Tasks, team.CPUsMax-team.CPUsUsed, j.Spec.CPUs) < j.Spec.Tasks:
+			// A part of it is of no use.
+		default:
+			add(j, l.wanted(j))
+		}
 	}
 	reserved := 0
-	for _, d := range l.reserve() {
+	for _, d := range append(l.reserve(), l.gangReserve(now)...) {
 		reserved += d.Tasks
 		out = append(out, d)
 	}
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -23,7 +23,7 @@
 	}
 	ops := min(l.n.settings.State.TxnOps, l.n.store.Writable(statestore.Work))
 	fence := l.reign.Fence()
-	batch := l.book.NextBatch(fence, ops, l.n.store.Writable(statestore.Rest), now)
+	batch := l.book.NextBatch(fence, ops, l.n.store.Writable(statestore.Rest), int(l.n.valueBytes.Load()), now)
 	if batch == nil {
 		l.clearOrphans(fence)
 		return
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,6 +55,7 @@
 // States and causes of the protocol that are acted on.
 const (
 	Pulling    = "pulling"
+	Waiting    = "waiting" // for the others of its gang
 	Running    = "running"
 	Exited     = "exited"
 	CauseDone  = "done"
@@ -347,7 +348,7 @@
 			out = append(out, Outcome{h, s.Cause})
 		case listed:
 			h.Missing = 0
-			if s.Status != Pulling && h.Running.IsZero() {
+			if s.Status != Pulling && s.Status != Waiting && h.Running.IsZero() {
 				h.Running = now
 			}
 			continue
@@ -442,7 +443,7 @@
 		switch {
 		case h.Stopping && (listed || !h.Sent.IsZero()):
 			need = append(need, h)
-		case !listed && !h.Stopping && h.Recorded && h.Session == m.Session && ledger.TryTerm(h.Try) == token:
+		case !listed && !h.Stopping && h.Sendable() && h.Session == m.Session && ledger.TryTerm(h.Try) == token:
 			// A start recorded under an earlier token is never sent again: the
 			// worker's next reports prove it gone.
 			need = append(need, h)
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -53,8 +53,9 @@
 
 // NextBatch builds the most urgent changes into one transaction of at most
 // maxOps changes, fenced by the leader's term, or returns nil. What can wait is
-// left out once there are spareOps. One batch is in flight at a time.
-func (b *Book) NextBatch(fence statestore.Cond, maxOps, spareOps int, now time.Time) *Batch {
+// left out once there are spareOps, and what is larger than the state service takes for
+// as long as it is. One batch is in flight at a time.
+func (b *Book) NextBatch(fence statestore.Cond, maxOps, spareOps, valueBytes int, now time.Time) *Batch {
 	type cand struct {
 		j   *Job
 		c   *chunk // nil: the job's end
@@ -121,7 +122,11 @@
 			size += 200
 			continue
 		}
-		value := k.j.chunkValue(k.c.n)
+		v := k.j.chunkValue(k.c.n)
+		if v.size() > valueBytes {
+			continue // laid out for larger values: it fits once enough of its tasks have ended
+		}
+		value := wire.Marshal(v)
 		if size += len(value) + 200; size > maxBatch && len(out.Ops) > 0 {
 			break
 		}
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -79,12 +79,30 @@
 	Session uint64
 }
 
-// ChunkSize returns how many tasks fit into one chunk with all of them live.
+// Sizes of a chunk's value, counted in JSON as the state service does.
+const (
+	attemptBytes = 56 // one attempt with long names and numbers; a task that is done takes far less
+	restBytes    = 64
+)
+
+// ChunkSize returns how many tasks fit into one chunk with all of them live. Should names
+// be so long that they do not, fewer of them are live at once (Job.Startable).
 func ChunkSize(valueBytes int) int {
-	const perTask = 64 // an attempt with long names, with room to spare
-	return max(1, min(1024, (valueBytes-256)/perTask))
+	return max(1, min(1024, (valueBytes-restBytes)/attemptBytes))
+}
+
+// size returns the length of a chunk's value in JSON.
+func (v *chunkValue) size() int {
+	n := len(`{"done":"","live":[]}`) + len(v.Done)
+	for i := range v.Live {
+		a := &v.Live[i]
+		n += len(`[,,"",],`) + len(a.Machine) + digits(uint64(a.Task)) + digits(a.Try) + digits(a.Session)
+	}
+	return n
 }
 
+func digits(n uint64) int { return len(strconv.FormatUint(n, 10)) }
+
 const termShift = 24
 
 // TryTerm returns the term under which an attempt was made. Attempts are
@@ -128,6 +146,50 @@
 // LiveTasks returns how many tasks have an attempt that is not proven gone.
 func (j *Job) LiveTasks() int { return len(j.live) }
 
+// Startable returns how many of the waiting tasks may start now: those whose chunks have
+// room for their attempts. All have, but in jobs whose chunks were laid out for larger
+// values than the state service takes by now: as many as fit are live at once, and what
+// is stored larger is written again once it fits. It takes the bytes of a value.
+func (j *Job) Startable(valueBytes int) int {
+	if j.record.Chunk <= ChunkSize(valueBytes) {
+		return j.WaitingTasks()
+	}
+	n := 0
+	for first := 0; first < len(j.tasks); first += j.record.Chunk {
+		n += min(j.room(first/j.record.Chunk, valueBytes), j.waitingIn(first))
+	}
+	return min(n, j.WaitingTasks())
+}
+
+// room returns for how many more live attempts a chunk's value has room.
+func (j *Job) room(n, valueBytes int) int {
+	live := 0
+	for t := n * j.record.Chunk; t < min((n+1)*j.record.Chunk, len(j.tasks)); t++ {
+		if j.tasks[t] == Live {
+			live++
+		}
+	}
+	return max(0, ChunkSize(valueBytes)-live)
+}
+
+func (j *Job) waitingIn(first int) (n int) {
+	for _, s := range j.tasks[first:min(first+j.record.Chunk, len(j.tasks))] {
+		if s == Waiting {
+			n++
+		}
+	}
+	return n
+}
+
+// NextStartable returns the first task at or after from that may start, or -1.
+func (j *Job) NextStartable(from, valueBytes int) int {
+	t := j.NextWaiting(from)
+	for t >= 0 && j.record.Chunk > ChunkSize(valueBytes) && j.room(t/j.record.Chunk, valueBytes) == 0 {
+		t = j.NextWaiting((t/j.record.Chunk + 1) * j.record.Chunk)
+	}
+	return t
+}
+
 // WaitingTasks returns how many tasks wait for a machine.
 func (j *Job) WaitingTasks() int {
 	if j.Cancelled {
@@ -312,6 +374,13 @@
 // which nothing is left to do.
 func (b *Book) Loaded() {
 	for _, j := range b.jobs {
+		if j.Gang() && j.done > 0 {
+			for t, s := range j.tasks {
+				if s == Waiting {
+					j.finish(t)
+				}
+			}
+		}
 		b.checkEnd(j)
 	}
 }
@@ -367,9 +436,8 @@
 		return
 	}
 	delete(j.live, a.Task)
-	if done {
-		j.tasks[a.Task] = TaskDone
-		j.done++
+	if done || j.Gang() && j.done > 0 {
+		j.finish(a.Task)
 	} else {
 		j.tasks[a.Task] = Waiting
 		j.next = min(j.next, a.Task)
@@ -377,9 +445,57 @@
 	b.ends++
 	j.unwritten[a.Task] = b.ends
 	b.touch(j, a.Task, now)
+	if done && j.Gang() {
+		// The tasks of a gang complete together: those that were proven gone before the
+		// first was reported done are done too.
+		for t, s := range j.tasks {
+			if s == Waiting {
+				j.finish(t)
+				b.touch(j, t, now)
+			}
+		}
+	}
 	b.checkEnd(j)
 }
 
+func (j *Job) finish(task int) {
+	j.tasks[task] = TaskDone
+	j.done++
+}
+
+// Gang tells whether the job's tasks run together or not at all.
+func (j *Job) Gang() bool { return j.Spec.Shape == job.Gang }
+
+// Whole tells whether an attempt to run a gang is complete: each of its tasks has a live
+// attempt, and all share one number.
+func (j *Job) Whole() bool {
+	if len(j.live) != len(j.tasks) {
+		return false
+	}
+	for _, a := range j.live {
+		if a.Try != j.live[0].Try {
+			return false
+		}
+	}
+	return true
+}
+
+// Sendable tells whether the start of an attempt may be sent: it is recorded, and so are
+// those of the whole gang if it is of one.
+//
+// It guards against a gang of which only a part is known to whoever leads next.
+func (a *Attempt) Sendable() bool {
+	if !a.Recorded || !a.Job.Gang() {
+		return a.Recorded
+	}
+	for _, other := range a.Job.live {
+		if !other.Recorded {
+			return false
+		}
+	}
+	return a.Job.Whole()
+}
+
 func (b *Book) touch(j *Job, task int, now time.Time) *chunk {
 	n := task / j.record.Chunk
 	c := j.chunks[n]
@@ -407,7 +523,7 @@
 	}
 }
 
-func (j *Job) chunkValue(n int) []byte {
+func (j *Job) chunkValue(n int) *chunkValue {
 	first := n * j.record.Chunk
 	last := min(first+j.record.Chunk, len(j.tasks))
 	var v chunkValue
@@ -436,7 +552,7 @@
 			v.Live = append(v.Live, attemptValue{Task: t, Try: a.Try, Machine: a.Machine, Session: a.Session})
 		}
 	}
-	return wire.Marshal(v)
+	return &v
 }
 
 // Place is a live attempt by its record.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -36,7 +36,7 @@
 func start(t *testing.T, b *Book, j *Job, task int, rev uint64) *Attempt {
 	t.Helper()
 	a := b.Start(j, task, b.NextTry(1), "vm-1", 1, t0)
-	bt := b.NextBatch(fence, 8, 8, t0)
+	bt := b.NextBatch(fence, 8, 8, 8<<10, t0)
 	if bt == nil {
 		t.Fatal("start is not written")
 	}
@@ -62,7 +62,7 @@
 	b := NewBook()
 	j := put(t, b, "wk-000001", 6, false, 10)
 	a := b.Start(j, 5, b.NextTry(3), "vm-1", 2, t0)
-	bt := b.NextBatch(fence, 8, 8, t0)
+	bt := b.NextBatch(fence, 8, 8, 8<<10, t0)
 	if !hasCond(bt, fence.Key, 7) || !hasCond(bt, "job/wk-000001", 10) || !hasCond(bt, "job/wk-000001/000001", 0) {
 		t.Fatalf("conditions %v", bt.Conds)
 	}
@@ -73,7 +73,7 @@
 		t.Fatalf("attempt of term %d", TryTerm(a.Try))
 	}
 	b.Failed(bt)
-	if again := b.NextBatch(fence, 8, 8, t0); again == nil || !hasCond(again, "job/wk-000001/000001", 0) {
+	if again := b.NextBatch(fence, 8, 8, 8<<10, t0); again == nil || !hasCond(again, "job/wk-000001/000001", 0) {
 		t.Fatal("a start whose write failed is not written again under the same condition")
 	}
 }
@@ -85,7 +85,7 @@
 	old := NewBook()
 	j := put(t, old, "wk-000001", 2, false, 10)
 	start(t, old, j, 0, 11)
-	value := j.chunkValue(0)
+	value := wire.Marshal(j.chunkValue(0))
 
 	b := NewBook()
 	k := put(t, b, "wk-000001", 2, true, 12)
@@ -93,14 +93,14 @@
 		t.Fatal(err)
 	}
 	b.Loaded()
-	if bt := b.NextBatch(fence, 8, 8, t0.Add(time.Minute)); bt != nil {
+	if bt := b.NextBatch(fence, 8, 8, 8<<10, t0.Add(time.Minute)); bt != nil {
 		t.Fatalf("job with a live attempt is ended: %+v", bt.Ops)
 	}
 	if k.LiveTasks() != 1 || b.Job("wk-000001") == nil {
 		t.Fatalf("%d live attempts", k.LiveTasks())
 	}
 	b.End(k.LiveAttempt(0), false, t0)
-	bt := b.NextBatch(fence, 8, 8, t0)
+	bt := b.NextBatch(fence, 8, 8, 8<<10, t0)
 	if bt == nil || len(bt.Ops) != 3 || bt.Ops[0].Put != "end/wk-000001" {
 		t.Fatalf("end is not recorded: %+v", bt)
 	}
@@ -111,7 +111,7 @@
 	j := put(t, b, "wk-000001", 1, false, 10)
 	a := start(t, b, j, 0, 11)
 	b.End(a, true, t0)
-	bt := b.NextBatch(fence, 8, 8, t0)
+	bt := b.NextBatch(fence, 8, 8, 8<<10, t0)
 	if bt == nil || !hasCond(bt, "job/wk-000001", 10) {
 		t.Fatal("end is not conditioned on the job as known")
 	}
@@ -134,7 +134,7 @@
 	b := NewBook()
 	j := put(t, b, "wk-000001", 1, false, 10)
 	b.End(start(t, b, j, 0, 11), true, t0)
-	bt := b.NextBatch(fence, 8, 1, t0)
+	bt := b.NextBatch(fence, 8, 1, 8<<10, t0)
 	if bt == nil || len(bt.Ops) != 2 {
 		t.Fatalf("%+v", bt)
 	}
@@ -169,7 +169,7 @@
 	}
 	rev := uint64(1)
 	for {
-		bt := b.NextBatch(fence, 8, 8, t0)
+		bt := b.NextBatch(fence, 8, 8, 8<<10, t0)
 		if bt == nil {
 			break
 		}
@@ -209,7 +209,7 @@
 			b.End(a, true, t0)
 		}
 	}
-	done, live, err := ReadChunk("wk-000001", j.chunkValue(0))
+	done, live, err := ReadChunk("wk-000001", wire.Marshal(j.chunkValue(0)))
 	if err != nil || done != 3 || len(live) != 1 || live[0] != (Place{"wk-000001/1", 1<<termShift | 2, "vm-1", 1}) {
 		t.Fatalf("done %d, live %v, %v", done, live, err)
 	}
@@ -227,7 +227,7 @@
 	j := put(t, b, "wk-000001", 3, false, 10)
 	first, second := start(t, b, j, 0, 11), start(t, b, j, 1, 12)
 	write := func() *Batch {
-		bt := b.NextBatch(fence, 8, 8, t0.Add(time.Minute))
+		bt := b.NextBatch(fence, 8, 8, 8<<10, t0.Add(time.Minute))
 		if bt == nil {
 			t.Fatal("nothing to write")
 		}
@@ -268,7 +268,7 @@
 		b.Start(large, 4+4*i, b.NextTry(1), "vm-1", 1, t0.Add(2*time.Second))
 	}
 	for i, want := range []string{"job/wk-000001/000000", "job/wk-000002/000000", "job/wk-000001/000001"} {
-		bt := b.NextBatch(fence, 1, 1, t0.Add(2*time.Second))
+		bt := b.NextBatch(fence, 1, 1, 8<<10, t0.Add(2*time.Second))
 		if bt == nil || bt.Ops[0].Put != want {
 			t.Fatalf("write %d: %+v, want %s", i, bt, want)
 		}
@@ -283,7 +283,7 @@
 	for i := range 4 {
 		b.Start(large, i, b.NextTry(1), "vm-1", 1, t0.Add(2*time.Second))
 	}
-	if bt := b.NextBatch(fence, 1, 1, t0.Add(5*time.Second)); bt == nil || bt.Ops[0].Put != "job/wk-000002/000000" {
+	if bt := b.NextBatch(fence, 1, 1, 8<<10, t0.Add(5*time.Second)); bt == nil || bt.Ops[0].Put != "job/wk-000002/000000" {
 		t.Fatalf("four starts that waited for 3 s are behind one that waited for 5 s: %+v", bt)
 	}
 }
@@ -312,7 +312,7 @@
 func TestStaleReadOfAnEndedJob(t *testing.T) {
 	b := NewBook()
 	put(t, b, "wk-000001", 1, true, 10)
-	end := b.NextBatch(fence, 8, 8, t0)
+	end := b.NextBatch(fence, 8, 8, 8<<10, t0)
 	if end == nil || end.Ops[0].Put != "end/wk-000001" {
 		t.Fatalf("end is not recorded: %+v", end)
 	}
@@ -321,7 +321,7 @@
 	if _, ended := b.Committed(end, 11); len(ended) != 2 || b.Len() != 0 {
 		t.Errorf("%d jobs told as ended, %d left", len(ended), b.Len())
 	}
-	if bt := b.NextBatch(fence, 8, 8, t0.Add(time.Minute)); bt != nil {
+	if bt := b.NextBatch(fence, 8, 8, 8<<10, t0.Add(time.Minute)); bt != nil {
 		t.Errorf("written again: %+v", bt.Ops)
 	}
 }
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -40,6 +40,17 @@
 	return a
 }
 
+// Times returns how many times need fits into a.
+func (a Amounts) Times(need Amounts) int {
+	n := math.MaxInt32
+	for r := range a {
+		if need[r] > 0 {
+			n = min(n, int(math.Max(0, a[r]+eps)/need[r]))
+		}
+	}
+	return n
+}
+
 // Index is the load index of Ferrari and Zhou for one machine: for each
 // resource the exponentially smoothed number of tasks that book it, summed
 // with unit weights.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -27,6 +27,8 @@
 	Priority int
 	Team     int
 	Since    time.Time
+	Mates    int  // tasks on other machines that lose as much when it is stopped
+	Lasts    bool // does not end by itself
 	Stopping bool
 }
 
@@ -45,6 +47,7 @@
 	OneZone  bool
 	Apart    bool
 	Gang     bool    // placed whole or not at all
+	Hold     bool    // a gang that has waited long enough for room to be kept free for it
 	Tasks    int     // of the job in all
 	InZone   []int   // of its tasks not done or now on machines, by zone
 	Urgent   bool    // may preempt
@@ -327,6 +330,59 @@
 		p.out.Assign = p.out.Assign[:done]
 	}
 	p.out.Starved[i] = j.Waiting
+	if j.Hold && p.teams[j.Team].fits(j.Need, j.Waiting) {
+		p.hold(j, zones)
+	}
+}
+
+// fits tells whether the team may use n more of a task's amounts.
+func (t *Team) fits(need Amounts, n int) bool {
+	k := float64(n)
+	return t.CPUsUsed+k*need[CPU] <= t.CPUsMax+eps && t.GPUsUsed+k*need[GPU] <= t.GPUsMax+eps
+}
+
+// hold closes machines to all that comes behind a gang in this pass: those that have
+// most room for it, with what will be free once tasks that end by themselves have ended,
+// in the zone that needs the fewest, as many as hold it whole.
+//
+// Exception to the design (priority, then arrival, each to the lowest index): small tasks
+// take every gap as soon as it is there, and a gang waits for all its gaps at once, which
+// the design names as its weak spot. Forced by gangs of 12 that waited behind arrays for
+// as long as those came (trace gang-held).
+func (p *planner) hold(j *Job, zones []int) {
+	type gap struct{ machine, now, then int }
+	var best []gap
+	for _, z := range zones {
+		var gaps []gap
+		for i := range p.machines {
+			m := &p.machines[i]
+			if !m.Open || !j.Allows(m) || j.avoids(i) || z >= 0 && m.Zone != z {
+				continue
+			}
+			then := m.Free
+			for _, t := range m.Tasks {
+				if !t.Lasts || t.Stopping {
+					then = then.Add(t.Need, 1)
+				}
+			}
+			if n := then.Times(j.Need); n > 0 {
+				gaps = append(gaps, gap{i, m.Free.Times(j.Need), n})
+			}
+		}
+		slices.SortFunc(gaps, func(a, b gap) int {
+			return cmp.Or(b.now-a.now, b.then-a.then, a.machine-b.machine)
+		})
+		n, room := 0, 0
+		for ; n < len(gaps) && room < j.Waiting; n++ {
+			room += gaps[n].then
+		}
+		if room >= j.Waiting && (best == nil || n < len(best)) {
+			best = gaps[:n]
+		}
+	}
+	for _, g := range best {
+		p.machines[g.machine].Open = false
+	}
 }
 
 // best returns the fitting machine that comes first, or -1. only, if not
@@ -527,7 +583,7 @@
 		over[Memory] = 0 // not limited
 		v.stops = append(v.stops, i)
 		if !t.Stopping {
-			v.cost += p.now.Sub(t.Since).Seconds()
+			v.cost += p.now.Sub(t.Since).Seconds() * float64(1+t.Mates)
 		}
 	}
 	v.ok = enough()
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -3,7 +3,9 @@
 package rental
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -21,6 +23,8 @@
 	Zone  int    // -1: any
 	Spot  bool
 	Tasks int
+
+	OneZone bool // all in one zone, whichever
 }
 
 // Machine is a machine that is paid for.
@@ -88,6 +92,9 @@
 	}
 	counts := make([]int, len(pools))
 	for _, d := range demand {
+		if d.OneZone && d.Zone < 0 {
+			d.Zone = d.bestZone(machines, free, order, pools)
+		}
 		// Room only shrinks, so what has none for one task has none for the next.
 		next, nextRented := 0, 0
 		for n := 0; n < d.Tasks; n++ {
@@ -138,6 +145,33 @@
 	return out
 }
 
+// bestZone returns the zone that has room for most of the tasks, and where machines can be
+// rented for the rest; -1 if there is none.
+func (d *Demand) bestZone(machines []Machine, free []placement.Amounts, usable []int, pools []Pool) int {
+	room := map[int]int{}
+	for _, p := range pools {
+		if !p.Blocked && p.Capacity.Fits(d.Need) && d.allows(p.Type, p.Zone, p.Spot) {
+			room[p.Zone] += 0
+		}
+	}
+	rented := maps.Clone(room)
+	for _, i := range usable {
+		if m := &machines[i]; d.allows(m.Type, m.Zone, m.Spot) {
+			room[m.Zone] += free[i].Times(d.Need)
+		}
+	}
+	best := -1
+	for _, z := range slices.Sorted(maps.Keys(room)) {
+		if _, more := rented[z]; !more && room[z] < d.Tasks {
+			continue
+		}
+		if best < 0 || min(room[z], d.Tasks) > min(room[best], d.Tasks) {
+			best = z
+		}
+	}
+	return best
+}
+
 func (d *Demand) allows(typ, zone int, spot bool) bool {
 	return typ >= 0 && (d.Types == nil || d.Types[typ]) && (d.Zone < 0 || d.Zone == zone) && (d.Spot || !spot)
 }
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -83,6 +83,22 @@
 	reqs   bucket
 	writes bucket
 	lastOK atomic.Int64 // when the service last executed anything, in Unix nanoseconds
+
+	// Refused, if not nil, is told when a transaction is refused as too large, or else as
+	// one too many: the service's limits may be lower from now on.
+	Refused func(tooLarge bool)
+}
+
+// Lower sets lower rates.
+func (c *Client) Lower(rps, writeRPS float64) {
+	c.reqs.set(rps)
+	c.writes.set(writeRPS)
+}
+
+func (c *Client) refused(target string, tooLarge bool) {
+	if target == txnPath && c.Refused != nil {
+		c.Refused(tooLarge)
+	}
 }
 
 // Served tells whether the service executed a request of this node lately.
@@ -139,6 +155,8 @@
 	return p, nil
 }
 
+const txnPath = "/txn"
+
 // Txn applies ops if all conditions hold and returns the revision of the
 // change. A failed condition gives a *ConflictError.
 func (c *Client) Txn(ctx context.Context, conds []Cond, ops []Op, u Urgency) (uint64, error) {
@@ -153,7 +171,7 @@
 		Rev    uint64   `cbor:"epoch"`
 		Failed []string `cbor:"failed"`
 	}
-	err := c.do(ctx, "POST", "/txn", body, &out)
+	err := c.do(ctx, "POST", txnPath, body, &out)
 	if errors.Is(err, errConflict) {
 		return 0, &ConflictError{out.Failed}
 	}
@@ -253,7 +271,10 @@
 		return ErrNotFound
 	case 410:
 		return ErrCompacted
-	case 429, 503:
+	case 429:
+		c.refused(target, false)
+		return fmt.Errorf("%w: status %d", ErrRefused, resp.Status)
+	case 503:
 		return fmt.Errorf("%w: status %d", ErrRefused, resp.Status)
 	case 400:
 		var e struct {
@@ -262,6 +283,7 @@
 		if wire.Unmarshal(resp.Body, &e) == nil && e.Error == "no such lease" {
 			return ErrNoSuchLease
 		}
+		c.refused(target, true)
 		return fmt.Errorf("statestore: %s %s: status 400 %q", method, target, e.Error)
 	}
 	return fmt.Errorf("%w: status %d", ErrUnknown, resp.Status)
@@ -275,6 +297,11 @@
 	return bucket{rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))}
 }
 
+func (b bucket) set(perSecond float64) {
+	b.SetLimit(rate.Limit(perSecond))
+	b.SetBurst(max(1, int(perSecond)))
+}
+
 func (b bucket) take(n int, u Urgency) bool {
 	now := time.Now()
 	if u == Lease {
