--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,7 @@
 	Pulling    = "pulling"
 	Waiting    = "waiting" // for the others of its gang
 	Running    = "running"
+	Saving     = "saving"
 	Exited     = "exited"
 	CauseDone  = "done"
 	CauseStop  = "stopped"
@@ -64,7 +65,10 @@
 	CauseRoom  = "no_room"
 	CauseInUse = "in_use"
 	CauseNoJob = "unknown"
-	CauseLost  = "" // gone without an exit: session over, or never started
+
+	CauseMatesGone  = "mates_gone" // another task of its gang is gone
+	CauseIncomplete = "incomplete" // its gang was not complete in time
+	CauseLost       = ""           // gone without an exit: session over, or never started
 )
 
 // Order is one command to a worker.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -325,3 +325,119 @@
 		t.Errorf("written again: %+v", bt.Ops)
 	}
 }
+
+// The starts of a gang may be sent once all are recorded, however many transactions that
+// takes, and no more once a part of the attempt is gone; one task done is all done.
+func TestGangIsWhole(t *testing.T) {
+	b := NewBook()
+	r := Record{Spec: &job.Spec{ID: "wk-000001", Shape: job.Gang, Priority: "standard", Tasks: 4, CPUs: 1}, Chunk: 2}
+	j, _, err := b.PutJob(wire.Marshal(r), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sendable := func() (n int) {
+		j.Attempts(func(a *Attempt) {
+			if a.Sendable() {
+				n++
+			}
+		})
+		return n
+	}
+	begin := func() (out []*Attempt) {
+		try := b.NextTry(1)
+		for task := range 4 {
+			out = append(out, b.Start(j, task, try, "vm-1", 1, t0))
+		}
+		return out
+	}
+	attempts := begin()
+	for i, want := range []int{0, 4} {
+		bt := b.NextBatch(fence, 1, 1, 8<<10, t0)
+		if len(bt.Ops) != 1 {
+			t.Fatalf("%d changes", len(bt.Ops))
+		}
+		b.Committed(bt, uint64(i+2))
+		if n := sendable(); n != want {
+			t.Errorf("%d of 4 may be sent after %d of 2 transactions", n, i+1)
+		}
+	}
+	b.End(attempts[0], false, t0)
+	if n := sendable(); n != 0 || j.Whole() {
+		t.Errorf("%d may be sent of an attempt that has lost a task", n)
+	}
+	for _, a := range attempts {
+		b.End(a, false, t0)
+	}
+	attempts = begin()
+	b.End(attempts[1], false, t0) // its machine is gone before it could say so
+	b.End(attempts[2], true, t0)
+	if j.DoneTasks() != 2 || j.WaitingTasks() != 0 {
+		t.Errorf("%d done, %d wait", j.DoneTasks(), j.WaitingTasks())
+	}
+	b.End(attempts[0], false, t0)
+	b.End(attempts[3], true, t0)
+	if bt := b.NextBatch(fence, 8, 8, 8<<10, t0); j.DoneTasks() != 4 || len(bt.ends) != 1 {
+		t.Errorf("%d of 4 done, %d ends", j.DoneTasks(), len(bt.ends))
+	}
+}
+
+// A chunk that was laid out for larger values than the state service takes by now is not
+// written until it fits, fewer of its tasks start, and all of the job is done in the end.
+func TestChunkLaidOutForMore(t *testing.T) {
+	const small = 2 << 10
+	b := NewBook()
+	r := Record{Spec: &job.Spec{ID: "wk-000001", Shape: job.Array, Priority: "standard", Tasks: 300, CPUs: 1}, Chunk: ChunkSize(8 << 10)}
+	j, _, err := b.PutJob(wire.Marshal(r), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var live []*Attempt
+	for task := range 300 {
+		live = append(live, b.Start(j, task, b.NextTry(1), "vm-000001", 1, t0))
+	}
+	rev := uint64(1)
+	write := func(valueBytes int, now time.Time) (wrote int) {
+		for {
+			bt := b.NextBatch(fence, 8, 8, valueBytes, now)
+			if bt == nil {
+				return wrote
+			}
+			for _, op := range bt.Ops {
+				if op.Value != nil && len(op.Value) > valueBytes {
+					t.Fatalf("a value of %d bytes", len(op.Value))
+				}
+			}
+			rev++
+			wrote += len(bt.Ops)
+			b.Committed(bt, rev)
+		}
+	}
+	if n := write(8<<10, t0); n != 3 {
+		t.Fatalf("%d chunks written", n)
+	}
+	now := t0.Add(time.Minute)
+	for _, a := range live[:20] {
+		b.End(a, false, now) // they have to start again
+	}
+	now = now.Add(time.Minute)
+	if n := write(small, now); n != 0 || j.Startable(small) != 0 || j.Startable(8<<10) != 20 {
+		t.Errorf("%d written, %d and %d may start", n, j.Startable(small), j.Startable(8<<10))
+	}
+	for rest := live[20:]; j.DoneTasks() < 300; {
+		k := min(50, len(rest))
+		for _, a := range rest[:k] {
+			b.End(a, true, now)
+		}
+		rest = rest[k:]
+		for next := 0; j.Startable(small) > 0; {
+			task := j.NextStartable(next, small)
+			rest = append(rest, b.Start(j, task, b.NextTry(1), "vm-000001", 1, now))
+			next = task + 1
+		}
+		now = now.Add(time.Minute)
+		write(small, now)
+	}
+	if b.Job("wk-000001") != nil {
+		t.Error("the job's end is not recorded")
+	}
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -16,6 +16,7 @@
 	Type     cloud.Type
 	Capacity int           // machines in all
 	Lag      time.Duration // lists leave out machines rented so lately
+	Gangs    *Gangs
 
 	net     *Net
 	referee *Referee
@@ -33,7 +34,7 @@
 
 // NewCloud returns a cloud with one machine type in the given zones.
 func NewCloud(n *Net, r *Referee, names, nodes []string, lease time.Duration, t cloud.Type, capacity int) *Cloud {
-	return &Cloud{Type: t, Capacity: capacity, net: n, referee: r, nodes: nodes, names: names, lease: lease,
+	return &Cloud{Type: t, Capacity: capacity, Gangs: newGangs(45*time.Second, 4*time.Second), net: n, referee: r, nodes: nodes, names: names, lease: lease,
 		rentals: map[string][]string{}, machines: map[string]*Worker{}}
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -26,6 +26,7 @@
 	jobs   map[string]*job.Spec
 	on     map[string]place // by task
 	told   map[string]time.Time
+	zones  map[string]string // by task, where it started last
 	Faults []string
 	Starts map[string]int // by task
 	Done   map[string]bool
@@ -33,11 +34,14 @@
 }
 
 // place is where a task is.
-type place struct{ machine, zone string }
+type place struct {
+	machine, zone string
+	try           uint64
+}
 
 // NewReferee returns a referee that has seen nothing.
 func NewReferee() *Referee {
-	return &Referee{jobs: map[string]*job.Spec{}, on: map[string]place{}, told: map[string]time.Time{},
+	return &Referee{jobs: map[string]*job.Spec{}, on: map[string]place{}, told: map[string]time.Time{}, zones: map[string]string{},
 		limits: map[string]float64{}, Starts: map[string]int{}, Done: map[string]bool{}}
 }
 
@@ -107,6 +111,13 @@
 	return n
 }
 
+// Zones returns the zone in which each task started last.
+func (r *Referee) Zones() map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.zones)
+}
+
 // Ended tells whether a task has completed.
 func (r *Referee) Ended(task string) bool {
 	r.mu.Lock()
@@ -139,6 +150,7 @@
 		}
 	}
 	r.on[task] = at
+	r.zones[task] = at.zone
 	r.Starts[task]++
 	r.place(task, id, s, at)
 	return s, true
@@ -156,6 +168,9 @@
 		if of == id && p.zone == at.zone {
 			there++
 		}
+		if of == id && s.Shape == job.Gang && p.try != at.try {
+			r.fault("%s starts in attempt %d while %s is on in attempt %d", task, at.try, other, p.try)
+		}
 		if of == id && s.OneZone && p.zone != at.zone {
 			r.fault("%s starts in zone %s while %s is in %s", task, at.zone, other, p.zone)
 		}
@@ -212,6 +227,10 @@
 	status string
 	cause  string
 	stop   *time.Timer
+
+	// Of a gang, to tell the others: that it is halted or killed, that its machine hangs.
+	left func(halt bool, windDown float64)
+	hung func(hung bool)
 }
 
 func newWorker(c *Cloud, name, zone string) *Worker {
@@ -232,6 +251,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.hung = hung
+	for _, t := range w.tasks {
+		if t.hung != nil && t.status != fleet.Exited {
+			t.hung(hung)
+		}
+	}
 }
 
 // Deafen lets reports leave the worker while nothing reaches it.
@@ -273,6 +297,18 @@
 	w.notice = time.Now().Add(d)
 }
 
+// Has tells whether a task of a job is on the worker.
+func (w *Worker) Has(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for k, t := range w.tasks {
+		if of, _, _ := fleet.SplitTask(k.task); of == id && t.status != fleet.Exited {
+			return true
+		}
+	}
+	return false
+}
+
 // Tasks returns how many tasks are on the worker.
 func (w *Worker) Tasks() int {
 	w.mu.Lock()
@@ -310,6 +346,9 @@
 	for k, t := range w.tasks {
 		if t.status != fleet.Exited {
 			t.stop.Stop()
+			if t.left != nil {
+				t.left(false, 0)
+			}
 			w.cloud.referee.end(k.task, w.Name, false)
 		}
 	}
@@ -461,6 +500,16 @@
 			w.tasks[k] = w.begin(k)
 			w.changed()
 		case o.Verb == "halt" && t != nil && t.status != fleet.Exited:
+			if t.left != nil {
+				windDown := 0.0
+				if o.WindDown != nil {
+					windDown = *o.WindDown
+				}
+				if t.left(true, windDown); t.status == fleet.Saving && windDown > 0 {
+					w.changed()
+					continue
+				}
+			}
 			t.stop.Stop()
 			t.status, t.cause = fleet.Exited, fleet.CauseStop
 			w.cloud.referee.end(k.task, w.Name, false)
@@ -477,7 +526,7 @@
 			return &task{status: fleet.Exited, cause: fleet.CauseInUse}
 		}
 	}
-	s, known := w.cloud.referee.start(k.task, place{w.Name, w.Zone})
+	s, known := w.cloud.referee.start(k.task, place{w.Name, w.Zone, k.try})
 	if !known {
 		return &task{status: fleet.Exited, cause: fleet.CauseNoJob}
 	}
@@ -486,6 +535,11 @@
 		w.changed()
 		return &task{status: fleet.Exited, cause: fleet.CauseError}
 	}
+	if s.Shape == job.Gang {
+		t := &task{status: fleet.Waiting}
+		w.cloud.Gangs.join(s, w, k, t)
+		return t
+	}
 	run := time.Duration(s.ExpectS * float64(time.Second))
 	if s.Shape == job.Service {
 		run = 1000 * time.Hour
