--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -44,6 +44,26 @@
 	if notes := s.Oddities(); len(notes) != 1 || !strings.HasPrefix(notes[0], "team "+s.Teams[1].Name) {
 		t.Errorf("oddities: %q", notes)
 	}
+	// Limits to come may be left out, name some only, and never raise what is allowed now.
+	if s.State.Next != nil || s.State.Safe().ValueBytes != 8192 || s.Workers.GangWait != 45*time.Second || s.Workers.GangPeer != 4*time.Second {
+		t.Errorf("%+v, %+v", s.State, s.Workers)
+	}
+	with := func(next string) (*Settings, error) {
+		return ParseSettings([]byte(strings.Replace(string(data), `"rps": 80.0`, `"next": `+next+`, "rps": 80.0`, 1)))
+	}
+	s, err = with(`{"write_rps": 18.0, "value_kb": 2.0, "txn_ops": 100}`)
+	if err != nil {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	if n, safe := s.State.Next, s.State.Safe(); n.RPS != 80 || n.WriteRPS != 18 || safe.ValueBytes != 2048 || safe.TxnOps != 8 || safe.WriteRPS != 25 {
+		t.Errorf("%+v, %+v", n, safe)
+	}
+	for next, want := range map[string]string{`7`: "params.state.next: must be an object", `{"value_kb": -2}`: "params.state.next.value_kb: -2 is not between",
+		`{"txn_ops": 1}`: "params.state.next.txn_ops: 1 is not between", `{"write_rps": "few"}`: "params.state.next.write_rps: must be a number"} {
+		if _, err := with(next); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", next, err)
+		}
+	}
 	// Every fault is named, not only the first.
 	bad := strings.NewReplacer(`"shelf-0"`, `1`, `"list_lag_s": 4.0`, `"list_lag_s": "x"`).Replace(string(data))
 	_, err = ParseSettings([]byte(bad))
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -36,6 +36,7 @@
 	rps     float64 // that the state service allows
 	limit   float64 // CPUs that the team may use
 	zones   []string
+	next    *config.State // limits to come that nodes are told of; nil: none
 	told    told
 }
 
@@ -146,7 +147,7 @@
 		CloudAddr: cloudAddr, StateAddr: stateAddr, Zones: c.zones,
 		Teams:     []config.Team{{Name: "crew", CPUs: 8, CPUsMax: c.limit, GPUsMax: math.Inf(1)}, {Name: "guests", CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}},
 		Workers:   config.Workers{Report: 3 * time.Second, Lease: 26 * time.Second, Cancel: 51 * time.Second, GangWait: 45 * time.Second, GangPeer: 4 * time.Second},
-		State:     config.State{RPS: c.rps, WriteRPS: 60, ValueBytes: 8 << 10, TxnOps: 8},
+		State:     config.State{RPS: c.rps, WriteRPS: 60, ValueBytes: 8 << 10, TxnOps: 8, Next: c.next},
 		Cloud:     config.Cloud{RPS: 5, ListLag: 2 * time.Second},
 		Resources: config.Resources{CPUShare: 1, MemBytes: 1 << 27, MaxSockets: 1000}}
 	for k := range 3 {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -48,6 +48,7 @@
 
 	valueBytes atomic.Int64 // that a value may take, as far as the state service has shown
 	slowed     atomic.Bool  // whether the lower rates to come are kept
+	gangs      atomic.Bool  // whether all controllers run gangs
 }
 
 const reportPath = "/v1/report"
@@ -106,6 +107,7 @@
 		},
 		Cancelled: func(id string) { n.onCancelled(n.cancelled.Note(id)) },
 		Spread:    func(ctx context.Context, id string) bool { return n.peers.Spread(ctx, id) },
+		Gangs:     n.gangs.Load,
 		Learned:   func(ids []string, asOf time.Time) { n.onCancelled(n.cancelled.Read(ids, asOf)) },
 		Changed: func(id string) {
 			select {
@@ -180,6 +182,7 @@
 	run(n.keepCatalog)
 	run(n.keepKnowing)
 	run(n.keepGuard)
+	run(n.awaitGangs)
 	run(func(ctx context.Context) { n.candidate.Run(ctx, n.reign) })
 	var err error
 	select {
--- /dev/null
+++ b/internal/controller/upgrade_test.go
@@ -0,0 +1,359 @@
+package controller
+
+// Controllers are replaced one at a time, so this version and the one in production read
+// what the other has written; and the state service's limits are lowered at a moment that
+// nobody announces.
+
+import (
+	"bufio"
+	"context"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"tulipshelf/internal/config"
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/peer"
+	"tulipshelf/internal/relay"
+	"tulipshelf/internal/statestore"
+	"tulipshelf/internal/wire"
+)
+
+// production returns what the version in production has written, by key.
+func production(t *testing.T) map[string][]byte {
+	t.Helper()
+	f, err := os.Open("testdata/production.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	out := map[string][]byte{}
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		key, text, ok := strings.Cut(lines.Text(), " ")
+		if !ok || key == "#" {
+			continue
+		}
+		if out[key], err = hex.DecodeString(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out
+}
+
+// begin ends all controllers, writes what production has left, and starts them anew.
+func (c *cluster) begin(kept map[string][]byte) {
+	for i := range 3 {
+		c.kill(i)
+	}
+	for key, value := range kept {
+		if strings.Contains(key, "/") {
+			c.store.Put(key, value)
+		}
+		if id, chunk, ok := ledger.SplitKey(key); ok && chunk < 0 && strings.HasPrefix(key, ledger.JobPrefix) {
+			rec, err := ledger.DecodeRecord(value)
+			if err != nil {
+				c.t.Fatal(id, err)
+			}
+			c.referee.Know(rec.Spec)
+		}
+	}
+	c.cloud.Begin(1000)
+	c.cloud.Capacity, c.limit = 24, 96
+	for i := range 3 {
+		c.start(i)
+	}
+}
+
+// What production has written is taken over: what is over stays so, what is done is not
+// done again, what was cancelled is, and what runs no more runs again; also while the
+// controllers are replaced one at a time, one of them ending twice.
+func TestTakesOverFromProduction(t *testing.T) {
+	for name, roll := range map[string]bool{"at once": false, "replaced one at a time": true} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(c *cluster) {
+				kept := production(t)
+				c.begin(kept)
+				if roll {
+					for i := range 3 {
+						time.Sleep(6 * time.Second)
+						c.kill(i)
+						time.Sleep(time.Second)
+						c.start(i)
+						if i == 1 {
+							time.Sleep(300 * time.Millisecond)
+							c.kill(i)
+							c.start(i)
+						}
+					}
+				}
+				c.over(2*time.Minute, map[string]string{"wk-000002": ledger.Done, "wk-000003": ledger.Cancelled,
+					"wk-000004": ledger.Done, "wk-000005": ledger.Cancelled})
+				c.until("the service runs", time.Minute, func() bool { return c.referee.OnOf("wk-000001") == 6 })
+				mistaken := 0
+				for task, n := range c.referee.Begun() {
+					id, k, _ := strings.Cut(task, "/")
+					switch {
+					case id == "wk-000006":
+						mistaken += n
+					case id == "wk-000005" || id == "wk-000004" && len(k) < 3 && k != "":
+						t.Errorf("%s was started", task)
+					}
+				}
+				if mistaken > 30 {
+					t.Errorf("a job known to fail everywhere was started %d times", mistaken)
+				}
+				if s := c.status(1, "wk-000006"); s != "pending" && s != "running" {
+					t.Errorf("a job that fails is %s", s)
+				}
+			})
+		})
+	}
+}
+
+// A beat of production is understood, and of this version's beat production reads all that
+// it knows: nothing of that has changed its number or form.
+func TestBeatBothWays(t *testing.T) {
+	var b peer.Beat
+	if err := proto.Unmarshal(production(t)["beat"], &b); err != nil || b.Node != "shelf-1" || b.Term != 1 || b.Leader != "shelf-1" ||
+		len(b.Cancelled) != 1 || b.Cancelled[0] != "wk-000005" || !b.Served || b.MemoryMs == 0 || b.KnownMs == 0 || b.Gangs {
+		t.Errorf("%v, %v", &b, err)
+	}
+	now, err := proto.Marshal(&peer.Beat{Node: "shelf-1", Term: 7, Leader: "shelf-2", Strays: 3, Cancelled: []string{"wk-000001"},
+		Served: true, MemoryMs: 5, KnownMs: 6, Gone: []*peer.Attempt{{Task: "wk-000001/0", Try: 9}}, Gangs: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	forms := map[protowire.Number]protowire.Type{}
+	for len(now) > 0 {
+		n, form, k := protowire.ConsumeField(now)
+		if k < 0 {
+			t.Fatal(protowire.ParseError(k))
+		}
+		if n <= 9 {
+			forms[n] = form
+		}
+		now = now[k:]
+	}
+	text, number := protowire.BytesType, protowire.VarintType
+	want := map[protowire.Number]protowire.Type{1: text, 2: number, 3: text, 4: number, 5: text, 6: number, 7: number, 8: number, 9: text}
+	if fmt.Sprint(forms) != fmt.Sprint(want) {
+		t.Errorf("%v, want %v", forms, want)
+	}
+}
+
+// What production reads of a job, of a chunk of its tasks, of its end, and of the rest.
+type (
+	oldRecord struct {
+		Spec        *job.Spec `cbor:"spec"`
+		AtMS        int64     `cbor:"at_ms"`
+		Arrival     uint64    `cbor:"arrival"`
+		CancelledMS int64     `cbor:"cancelled_ms"`
+		Chunk       int       `cbor:"chunk"`
+	}
+	oldAttempt struct {
+		_       struct{} `cbor:",toarray"`
+		Task    int
+		Try     uint64
+		Machine string
+		Session uint64
+	}
+	oldChunk struct {
+		Done string       `cbor:"done"`
+		Live []oldAttempt `cbor:"live"`
+	}
+	oldFinal struct {
+		Status string `cbor:"status"`
+		Tasks  int    `cbor:"tasks"`
+	}
+	oldMemo struct {
+		Estimates struct {
+			Sum     float64               `cbor:"sum"`
+			LastMS  int64                 `cbor:"last_ms"`
+			Learned map[string][2]float64 `cbor:"learned"`
+		} `cbor:"estimates"`
+		Failing []string `cbor:"failing"`
+	}
+	oldTerm struct {
+		Term uint64 `cbor:"term"`
+	}
+)
+
+// All that this version writes, gangs included, is read by one that knows only what
+// production does, and keys are of the forms that it knows or passes over.
+func TestProductionReadsWhatIsWritten(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.large()
+		c.runService(6)
+		c.accept(5*time.Second, 0, submission("wk-000002", job.Array, 300, 20))
+		m := gang(6, 300)
+		c.runGang(m)
+		c.accept(5*time.Second, 0, submission("wk-000003", job.Array, 2, 2))
+		c.until("done", time.Minute, c.done("wk-000003"))
+		c.until("some done", 2*time.Minute, func() bool { return c.referee.Ended("wk-000002/40") })
+		time.Sleep(12 * time.Second)
+		c.cutZone()
+		time.Sleep(16 * time.Second)
+		for _, w := range c.cloud.Machines() {
+			w.Hang(true)
+		}
+		c.until("cancelled", 10*time.Second, func() bool { return c.ask(c.leader(), "POST", "/v1/jobs/wk-000001/abort", nil).Status == 200 })
+		s := statestore.New(c.net.Dial("reader"), stateAddr, 1e6, 1e6)
+		page, err := s.List(context.Background(), "", "", 1000, statestore.Lease)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen := map[string]int{}
+		read := func(key string, value []byte, into any) {
+			if err := wire.Unmarshal(value, into); err != nil {
+				t.Errorf("%s: %v", key, err)
+			}
+		}
+		for _, it := range page.Items {
+			id, chunk, ok := ledger.SplitKey(it.Key)
+			form := strings.Join(strings.SplitAfterN(it.Key, "/", 3)[:min(2, strings.Count(it.Key, "/")+1)], "")
+			switch {
+			case ok && strings.HasPrefix(it.Key, ledger.JobPrefix) && chunk < 0:
+				var r oldRecord
+				read(it.Key, it.Value, &r)
+				if r.Spec == nil || r.Spec.ID != id || r.Chunk < 1 || r.AtMS == 0 || (id == "wk-000001") != (r.CancelledMS != 0) {
+					t.Errorf("%s: %+v", it.Key, r)
+				}
+				form = "job"
+			case ok && strings.HasPrefix(it.Key, ledger.JobPrefix):
+				var v oldChunk
+				read(it.Key, it.Value, &v)
+				for _, a := range v.Live {
+					if a.Machine == "" || a.Session == 0 || a.Try == 0 {
+						t.Errorf("%s: %+v", it.Key, a)
+					}
+				}
+				form = "chunk"
+			case strings.HasPrefix(it.Key, "end/"):
+				var f oldFinal
+				read(it.Key, it.Value, &f)
+				if f.Status != ledger.Done || f.Tasks != 2 {
+					t.Errorf("%s: %+v", it.Key, f)
+				}
+				form = "end"
+			case it.Key == memoKey:
+				var m oldMemo
+				if read(it.Key, it.Value, &m); m.Estimates.Sum == 0 || m.Estimates.LastMS == 0 {
+					t.Errorf("%s: %+v", it.Key, m)
+				}
+			case it.Key == "lead/term":
+				var v oldTerm
+				if read(it.Key, it.Value, &v); v.Term == 0 {
+					t.Errorf("%s: %+v", it.Key, v)
+				}
+			case strings.HasPrefix(it.Key, relay.UpPrefix):
+				var m relay.Mail
+				read(it.Key, it.Value, &m)
+			case strings.HasPrefix(it.Key, "relay/down/"):
+				var b relay.Box
+				read(it.Key, it.Value, &b)
+			}
+			seen[form]++
+		}
+		for _, form := range []string{"job", "chunk", "end", "rental/memo", "lead/term", "relay/up/", "relay/down/", gangsKey} {
+			if seen[form] == 0 {
+				t.Errorf("nothing written of %s: %v", form, seen)
+			}
+		}
+		delete(seen, gangsKey)
+		if len(seen) > 9 {
+			t.Errorf("keys that production does not know: %v", seen)
+		}
+		for _, w := range c.cloud.Machines() {
+			w.Hang(false)
+		}
+		c.net.Cut(nil)
+	})
+}
+
+// Gangs are taken once all controllers run them, and told to come back until then; a
+// controller that starts later knows.
+func TestGangsOnceAllRunThem(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		for i := range 3 {
+			c.kill(i)
+		}
+		c.start(0)
+		c.start(1)
+		time.Sleep(4 * time.Second)
+		if s := c.submit(0, gang(2, 5)); s != 503 {
+			t.Errorf("before the third is heard: %d", s)
+		}
+		if s := c.submit(0, gang(17, 5)); s != 422 {
+			t.Errorf("beyond the limit: %d", s)
+		}
+		c.start(2)
+		c.accept(5*time.Second, 0, gang(2, 5))
+		c.until("done", time.Minute, c.done(gangID))
+		for i := range 3 {
+			c.kill(i)
+		}
+		c.start(1)
+		again := gang(2, 5)
+		again["uid"] = "wk-000501"
+		c.accept(10*time.Second, 1, again)
+		c.start(0)
+		c.start(2)
+	})
+}
+
+// The state service lowers its limits under load, while large arrays that were laid out for
+// larger values run, some are cancelled, and the controllers are being replaced, with an
+// end in the middle: all is done or cancelled, nothing is lost, nothing waits for ever.
+func TestLimitsLowered(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.large()
+		c.runService(8)
+		want := map[string]string{}
+		for i := 2; i < 6; i++ {
+			c.accept(10*time.Second, i%3, submission(jobID(i), job.Array, 200, 12))
+			want[jobID(i)] = ledger.Done
+		}
+		c.next = &config.State{RPS: 200, WriteRPS: 18, ValueBytes: 2 << 10, TxnOps: 4}
+		for i := range 3 {
+			time.Sleep(4 * time.Second)
+			c.kill(i)
+			c.start(i)
+			if i == 1 {
+				c.store.Limit(2<<10, 4, 18)
+				c.kill(0)
+				c.start(0)
+			}
+		}
+		for i := 6; i < 10; i++ {
+			c.accept(30*time.Second, i%3, submission(jobID(i), job.Array, 100, 8))
+			want[jobID(i)] = ledger.Done
+		}
+		c.accept(30*time.Second, 0, gang(8, 10))
+		want[gangID] = ledger.Done
+		for _, i := range []int{3, 7} {
+			c.until("cancelled", 30*time.Second, func() bool { return c.ask(1, "POST", "/v1/jobs/"+jobID(i)+"/abort", nil).Status == 200 })
+			want[jobID(i)] = ledger.Cancelled
+		}
+		c.until("a leader", 20*time.Second, func() bool { return c.leader() >= 0 })
+		c.nextLeader()
+		c.over(6*time.Minute, want)
+		if n := c.referee.OnOf("wk-000001"); n != 8 {
+			t.Errorf("%d of 8 replicas on", n)
+		}
+		if large, many := c.store.Refused(); large > 30 || large+many == 0 {
+			t.Errorf("%d transactions refused as too large, %d as too many", large, many)
+		}
+		c.until("nothing left behind", time.Minute, func() bool {
+			return len(c.store.Keys(ledger.JobPrefix)) == 2 // the service and its tasks
+		})
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -27,6 +27,7 @@
 	Types     func() []cloud.Type                       // nil while the catalog is unknown
 	Changed   func(id string)                           // a job was submitted or cancelled here
 	Cancelled func(id string)                           // it was cancelled, durably
+	Gangs     func() bool                               // whether all controllers run gangs; nil: they do
 	Spread    func(ctx context.Context, id string) bool // whether most controllers hold that it is
 	Learned   func(cancelled []string, asOf time.Time)  // jobs newly found cancelled by a read sent then
 
@@ -125,6 +126,13 @@
 		}
 		return refusal
 	}
+	if spec.Shape == job.Gang && in.Gangs != nil && !in.Gangs() {
+		// A controller of an earlier version may lead yet, or next.
+		if st, err := in.lookup(ctx, id); err == nil {
+			return wire.Response{Status: 200, Body: wire.Marshal(brief{id, st.Status})}
+		}
+		return later()
+	}
 	rec := ledger.Record{Spec: spec, AtMS: time.Now().UnixMilli(), Chunk: in.ChunkSize}
 	_, err = in.Store.Txn(ctx,
 		[]statestore.Cond{{Key: ledger.JobKey(id)}, {Key: ledger.EndKey(id)}},
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -57,6 +57,7 @@
 	leading map[string]time.Time // when a node last said that it leads itself
 	strays  map[string]int       // machines that came to a node which does not lead
 	served  map[string]bool      // whether the state service served a node when last heard
+	gangs   map[string]bool      // whether a node's version ran gangs when last heard
 }
 
 // round is one beat to come.
@@ -184,6 +185,18 @@
 	return most
 }
 
+// AllRunGangs tells whether every other node has said that its version runs gangs.
+func (n *Net) AllRunGangs() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, o := range n.Others {
+		if !n.gangs[o.Node] {
+			return false
+		}
+	}
+	return true
+}
+
 // NobodyServed tells whether others were heard within d and none of them is served by
 // the state service.
 func (n *Net) NobodyServed(d time.Duration) bool {
@@ -206,7 +219,7 @@
 	leader, term := n.Known()
 	s := n.Register.State()
 	b := &Beat{Node: n.Node, Term: term, Leader: leader, Strays: uint32(n.Strays()), Served: n.Served(),
-		Cancelled: s.Jobs, Gone: n.Gone(), MemoryMs: uint64(s.Memory.Milliseconds())}
+		Cancelled: s.Jobs, Gone: n.Gone(), Gangs: true, MemoryMs: uint64(s.Memory.Milliseconds())}
 	if s.Knows {
 		b.KnownMs = uint64(s.Age.Milliseconds()) + 2 // rounded up, and one more
 	}
@@ -273,9 +286,10 @@
 	defer n.mu.Unlock()
 	if n.heard == nil {
 		n.heard, n.leading, n.strays, n.served = map[string]time.Time{}, map[string]time.Time{}, map[string]int{}, map[string]bool{}
+		n.gangs = map[string]bool{}
 	}
 	n.heard[b.Node] = time.Now()
-	n.strays[b.Node], n.served[b.Node] = int(b.Strays), b.Served
+	n.strays[b.Node], n.served[b.Node], n.gangs[b.Node] = int(b.Strays), b.Served, b.Gangs
 	if b.Leader == b.Node {
 		n.leading[b.Node] = time.Now()
 	}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -38,6 +38,13 @@
 		rentals: map[string][]string{}, machines: map[string]*Worker{}}
 }
 
+// Begin numbers the machines from n on, as one does that has rented some before.
+func (c *Cloud) Begin(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = n
+}
+
 // Machines returns the workers that have not been returned, by name.
 func (c *Cloud) Machines() []*Worker {
 	c.mu.Lock()
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -10,33 +12,37 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"tulipshelf/internal/statestore"
 	"tulipshelf/internal/wire"
 )
 
 // Store is the state service.
 type Store struct {
-	mu      sync.Mutex
-	rev     uint64
-	keys    map[string]entry
-	events  []statestore.Event
-	changed chan struct{}
-	leases  map[uint64]*lease
-	next    uint64
-	down    bool
-	lose    int // answers of so many transactions to come are lost after they were applied
-	late    []func()
-	hold    int    // so many transactions to come are held back and go unanswered
-	holdKey string // only those that change a key which begins so
-	downKey string // an outage begins once a key is changed that begins so; "": it does not
-	every   int    // of so many transactions one goes unanswered and is applied late; 0: none
-	count   int
-	atOnce  int // of so many transactions one is applied and goes unanswered; 0: none
-	luck    *rand.Rand
-	silent  int           // transactions so far that went unanswered
-	slow    time.Duration // that a request takes longer than usual
-	changes int           // puts and deletes so far
-	asked   int           // requests so far
+	mu                sync.Mutex
+	rev               uint64
+	keys              map[string]entry
+	events            []statestore.Event
+	changed           chan struct{}
+	leases            map[uint64]*lease
+	next              uint64
+	down              bool
+	lose              int // answers of so many transactions to come are lost after they were applied
+	late              []func()
+	hold              int    // so many transactions to come are held back and go unanswered
+	holdKey           string // only those that change a key which begins so
+	downKey           string // an outage begins once a key is changed that begins so; "": it does not
+	every             int    // of so many transactions one goes unanswered and is applied late; 0: none
+	count             int
+	atOnce            int     // of so many transactions one is applied and goes unanswered; 0: none
+	limits            *limits // nil: none
+	tooLarge, tooMany int
+	luck              *rand.Rand
+	silent            int           // transactions so far that went unanswered
+	slow              time.Duration // that a request takes longer than usual
+	changes           int           // puts and deletes so far
+	asked             int           // requests so far
 }
 
 type entry struct {
@@ -82,6 +88,78 @@
 	s.downKey = prefix
 }
 
+// Put writes a key, as somebody did before the test began.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.keys[key] = entry{value: value, rev: s.rev}
+}
+
+// Limit refuses larger values (counted in JSON) and transactions, and more changes a
+// second, from now on.
+func (s *Store) Limit(valueBytes, txnOps int, writeRPS float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = &limits{valueBytes, txnOps, rate.NewLimiter(rate.Limit(writeRPS), int(writeRPS))}
+}
+
+// Refused returns how many transactions were refused as too large, and as too many.
+func (s *Store) Refused() (tooLarge, tooMany int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tooLarge, s.tooMany
+}
+
+// limits is what the state service allows.
+type limits struct {
+	valueBytes, txnOps int
+	writes             *rate.Limiter
+}
+
+// check returns the answer to a transaction that is over the limits, or status 0.
+func (s *Store) check(body []byte) wire.Response {
+	var in struct {
+		Then []struct {
+			Value any `cbor:"value"`
+		} `cbor:"then"`
+	}
+	if s.limits == nil || wire.Unmarshal(body, &in) != nil {
+		return wire.Response{}
+	}
+	large := len(in.Then) > s.limits.txnOps
+	for _, op := range in.Then {
+		text, err := json.Marshal(plain(op.Value))
+		large = large || err != nil || len(text) > s.limits.valueBytes
+	}
+	switch {
+	case large:
+		s.tooLarge++
+		return wire.Response{Status: 400, Body: wire.Marshal(map[string]string{"error": "too large"})}
+	case !s.limits.writes.AllowN(time.Now(), len(in.Then)):
+		s.tooMany++
+		return wire.Response{Status: 429}
+	}
+	return wire.Response{}
+}
+
+// plain returns a decoded value in a form that JSON has.
+func plain(v any) any {
+	switch v := v.(type) {
+	case map[any]any:
+		out := map[string]any{}
+		for k, e := range v {
+			out[fmt.Sprint(k)] = plain(e)
+		}
+		return out
+	case []any:
+		for i := range v {
+			v[i] = plain(v[i])
+		}
+	}
+	return v
+}
+
 // LoseAnswers applies the next n transactions without answering them.
 func (s *Store) LoseAnswers(n int) {
 	s.mu.Lock()
@@ -282,6 +360,9 @@
 		defer s.mu.Unlock()
 		s.apply(body)
 	}
+	if resp := s.check(body); resp.Status != 0 {
+		return resp
+	}
 	s.count++
 	s.silent++
 	switch {
