--- a/internal/controller/gang.go
+++ b/internal/controller/gang.go
@@ -11,6 +11,7 @@
 	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/job"
 	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/placement"
 	"tulipshelf/internal/rental"
 )
 
@@ -126,6 +127,23 @@
 	return out
 }
 
+// gangsToCome returns a gang of each class that should start sooner than a machine boots,
+// the largest that has come, for the placement to keep room for: what is rented for them
+// arrays would take.
+func (l *lead) gangsToCome(now time.Time) (out []placement.Job) {
+	if l.gangs.Empty() || l.gangs.Rate(now) < 1 {
+		return nil
+	}
+	for _, class := range slices.Sorted(maps.Keys(l.lastGangs)) {
+		if s, st := l.lastGangs[class].spec, l.lastGangs[class].state; l.soon(class) {
+			out = append(out, placement.Job{Team: st.team, Priority: s.Rank(), Arrival: math.MaxUint64, Need: st.need, Waiting: s.Tasks,
+				Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart, Gang: true, ToCome: true, Tasks: s.Tasks,
+				InZone: make([]int, len(l.zones))})
+		}
+	}
+	return out
+}
+
 // soon tells whether tasks of a class should start sooner than a machine boots.
 func (l *lead) soon(class string) bool {
 	boot := 0.0
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -201,7 +201,7 @@
 			jobs[i].Waiting = 0
 		}
 	}
-	plan := placement.Place(now, machines, jobs, l.teams())
+	plan := placement.Place(now, machines, append(jobs, l.gangsToCome(now)...), l.teams())
 	next := make([]int, len(waiting))
 	tries := make([]uint64, len(waiting))
 	for _, a := range plan.Assign {
@@ -228,7 +228,7 @@
 		}
 		l.fleet.At(s.Machine).Stop(h, h.Job.Spec.SaveS)
 	}
-	for _, n := range plan.Starved {
+	for _, n := range plan.Starved[:len(waiting)] {
 		l.without += n
 	}
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -15,7 +15,7 @@
 //
 //	machine zone= cpu= ram= load= [spot] [task=CPU:PRIORITY:AGE[:TEAM]]...
 //	team max= [used=] [guest]
-//	job team= prio= at= cpu= ram= tasks= [zone=] [spot] [onezone] [apart] [gang] [urgent] [displace] [costly] [beyond] [ratio=] [warm=M [coming=M]]
+//	job team= prio= at= cpu= ram= tasks= [zone=] [spot] [onezone] [apart] [gang] [urgent] [displace] [costly] [beyond] [ratio=] [hold] [tocome] [warm=M [coming=M]]
 //	load SECONDS TASKS   the index of one machine with so many tasks for so long
 //	place
 func TestTraces(t *testing.T) { tracetest.Run(t, replay) }
@@ -72,7 +72,7 @@
 		case "job":
 			j := Job{Team: int(number("team", 0)), Priority: int(number("prio", 1)), Arrival: uint64(number("at", 0)),
 				Need: Amounts{CPU: number("cpu", 1), Memory: number("ram", 1)}, Waiting: int(number("tasks", 1)), Tasks: int(number("tasks", 1)),
-				Zone: int(number("zone", -1)), Spot: flag("spot"), OneZone: flag("onezone"), Apart: flag("apart"), Gang: flag("gang"),
+				Zone: int(number("zone", -1)), Spot: flag("spot"), OneZone: flag("onezone"), Apart: flag("apart"), Gang: flag("gang"), Hold: flag("hold"), ToCome: flag("tocome"),
 				Urgent: flag("urgent"), Displace: flag("displace"), Costly: flag("costly"), Overdue: flag("overdue"), Beyond: flag("beyond"), Ratio: number("ratio", 0), InZone: make([]int, zones)}
 			if w := int(number("warm", -1)); w >= 0 {
 				j.Image = make([]Image, len(machines))
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -48,6 +48,7 @@
 	Apart    bool
 	Gang     bool    // placed whole or not at all
 	Hold     bool    // a gang that has waited long enough for room to be kept free for it
+	ToCome   bool    // a gang that is not there yet, for which room is kept free
 	Tasks    int     // of the job in all
 	InZone   []int   // of its tasks not done or now on machines, by zone
 	Urgent   bool    // may preempt
@@ -309,6 +310,10 @@
 			zones = append(zones, z)
 		}
 	}
+	if j.ToCome {
+		p.hold(j, zones)
+		return
+	}
 	for _, z := range zones {
 		done := len(p.out.Assign)
 		for len(p.out.Assign)-done < j.Waiting && p.teams[j.Team].room(j.Need) {
