--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -301,7 +301,8 @@
 }
 
 // gang places all waiting tasks of a job in this pass or none. Where all must
-// be in one zone, each zone is tried in order.
+// be in one zone, it is the one in which the last of them has its image soonest, and of
+// equals the one with the lowest indices; they begin when the last one can.
 func (p *planner) gang(i int, j *Job) {
 	zones := []int{-1}
 	if j.OneZone {
@@ -314,30 +315,64 @@
 		p.hold(j, zones)
 		return
 	}
-	for _, z := range zones {
-		done := len(p.out.Assign)
-		for len(p.out.Assign)-done < j.Waiting && p.teams[j.Team].room(j.Need) {
-			m := p.best(j, z)
-			if m < 0 {
-				break
-			}
-			p.assign(i, j, m)
+	best, bestRank, bestLoad := -1, 0, 0.0
+	for k, z := range zones {
+		undo := p.tryGang(i, j, z)
+		if undo == nil {
+			continue
 		}
-		if len(p.out.Assign)-done == j.Waiting {
-			return
+		rank, load := undo()
+		if best < 0 || cmp.Or(cmp.Compare(rank, bestRank), cmp.Compare(load, bestLoad)) < 0 {
+			best, bestRank, bestLoad = k, rank, load
 		}
-		for _, a := range p.out.Assign[done:] {
+	}
+	if best >= 0 {
+		p.tryGang(i, j, zones[best])
+		return
+	}
+	p.out.Starved[i] = j.Waiting
+	if j.Hold && p.teams[j.Team].fits(j.Need, j.Waiting) {
+		p.hold(j, zones)
+	}
+}
+
+// tryGang places a gang in a zone, or anywhere if it is negative. It returns nil, and has
+// placed nothing, if it does not fit whole, and otherwise what takes it back and tells of
+// the machines the highest rank and the sum of their indices.
+func (p *planner) tryGang(i int, j *Job, zone int) (undo func() (rank int, load float64)) {
+	done := len(p.out.Assign)
+	var ranks []int
+	fetched := map[int]bool{} // whether machines that have to fetch its image fetched others
+	back := func() (worst int, load float64) {
+		for k, a := range p.out.Assign[done:] {
 			m := &p.machines[a.Machine]
 			m.Free = m.Free.Add(j.Need, 1)
 			p.teams[j.Team].use(j.Need, -1)
 			j.InZone[m.Zone]--
+			worst, load = max(worst, ranks[k]), load+m.Load
+		}
+		for m, others := range fetched {
+			j.Image[m], p.machines[m].Fetch = Cold, others
 		}
 		p.out.Assign = p.out.Assign[:done]
+		return worst, load
 	}
-	p.out.Starved[i] = j.Waiting
-	if j.Hold && p.teams[j.Team].fits(j.Need, j.Waiting) {
-		p.hold(j, zones)
+	for len(p.out.Assign)-done < j.Waiting && p.teams[j.Team].room(j.Need) {
+		m := p.best(j, zone)
+		if m < 0 {
+			break
+		}
+		ranks = append(ranks, p.rank(j, m))
+		if j.Image != nil && j.Image[m] == Cold {
+			fetched[m] = p.machines[m].Fetch
+		}
+		p.assign(i, j, m)
+	}
+	if len(p.out.Assign)-done < j.Waiting {
+		back()
+		return nil
 	}
+	return back
 }
 
 // fits tells whether the team may use n more of a task's amounts.
