--- a/internal/controller/gang.go
+++ b/internal/controller/gang.go
@@ -92,54 +92,57 @@
 	}
 }
 
-// gangReserve keeps room for gangs to come, which start at once or miss their aim: what
-// they usually use and do not use now, and the largest of each class that should start
-// sooner than a machine boots, whole and in one zone if it must be.
-func (l *lead) gangReserve(now time.Time) (out []rental.Demand) {
+// gangsKept returns the gangs to come for which room is kept, the largest of its class each:
+// one of each class that should start sooner than a machine boots, and in turn as many more
+// as gangs usually use room beyond what they do now.
+func (l *lead) gangsKept(now time.Time) (out []gangKind) {
 	if l.gangs.Empty() {
 		return nil
 	}
-	usual := l.gangs.Rate(now)
-	if usual < 1 {
+	spare := l.gangs.Rate(now)
+	if spare < 1 {
 		return nil
 	}
-	live := 0.0
 	l.book.Jobs(func(j *ledger.Job) {
 		if j.Gang() && l.jobs[j].team >= 0 && !j.Cancelled {
-			live += float64(j.Spec.Tasks) * size(l.jobs[j].need)
+			spare -= float64(j.Spec.Tasks) * size(l.jobs[j].need)
 		}
 	})
-	spare := usual - live
+	var kinds []gangKind
 	for _, class := range slices.Sorted(maps.Keys(l.lastGangs)) {
-		s, st := l.lastGangs[class].spec, l.lastGangs[class].state
-		n := 0
 		if l.soon(class) {
-			n = s.Tasks
-		}
-		if more := int(math.Ceil(spare / size(st.need))); more > n {
-			n = more
+			kinds = append(kinds, l.lastGangs[class])
 		}
-		spare -= float64(n) * size(st.need)
-		if n > 0 {
-			out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Tasks: n})
+	}
+	for more := len(kinds) > 0; more; more = spare > 0 {
+		for _, k := range kinds {
+			if spare <= 0 && len(out) >= len(kinds) {
+				break
+			}
+			out = append(out, k)
+			spare -= float64(k.spec.Tasks) * size(k.state.need)
 		}
 	}
 	return out
 }
 
-// gangsToCome returns a gang of each class that should start sooner than a machine boots,
-// the largest that has come, for the placement to keep room for: what is rented for them
-// arrays would take.
-func (l *lead) gangsToCome(now time.Time) (out []placement.Job) {
-	if l.gangs.Empty() || l.gangs.Rate(now) < 1 {
-		return nil
+// gangReserve is the demand for room for gangs to come.
+func (l *lead) gangReserve(now time.Time) (out []rental.Demand) {
+	for _, k := range l.gangsKept(now) {
+		out = append(out, rental.Demand{Need: k.state.need, Types: k.state.types, Zone: k.state.zone, Spot: k.spec.Spot, OneZone: k.spec.OneZone, Tasks: k.spec.Tasks})
 	}
-	for _, class := range slices.Sorted(maps.Keys(l.lastGangs)) {
-		if s, st := l.lastGangs[class].spec, l.lastGangs[class].state; l.soon(class) {
-			out = append(out, placement.Job{Team: st.team, Priority: s.Rank(), Arrival: math.MaxUint64, Need: st.need, Waiting: s.Tasks,
-				Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart, Gang: true, ToCome: true, Tasks: s.Tasks,
-				InZone: make([]int, len(l.zones))})
-		}
+	return out
+}
+
+// gangsToCome returns them for the placement, which keeps the room free: what is rented for
+// them arrays would take.
+func (l *lead) gangsToCome(now time.Time) (out []placement.Job) {
+	for _, k := range l.gangsKept(now) {
+		s, st := k.spec, k.state
+		// Behind those that wait, before arrays.
+		out = append(out, placement.Job{Team: st.team, Priority: min(s.Rank(), job.Standard), Arrival: math.MaxUint64, Need: st.need, Waiting: s.Tasks,
+			Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart, Gang: true, ToCome: true, Tasks: s.Tasks,
+			InZone: make([]int, len(l.zones))})
 	}
 	return out
 }
