--- a/internal/controller/gang.go
+++ b/internal/controller/gang.go
@@ -15,8 +15,8 @@
 	"tulipshelf/internal/rental"
 )
 
-// lasts tells whether a job's tasks do not end by themselves.
-func lasts(j *ledger.Job) bool { return j.Spec.Shape == job.Service }
+// soonEnds is how long a task may run for its room to be counted on for a gang.
+const soonEnds = 2 * time.Minute
 
 // mates returns how many tasks on other machines lose as much when one task stops.
 func (l *lead) mates(j *ledger.Job) int {
@@ -64,18 +64,6 @@
 		now.Sub(m.Heard) < l.n.settings.Workers.Report*3/2
 }
 
-// gangPatience is for how long a gang waits before room is kept free for it: a part of the
-// time in which it should start.
-func (l *lead) gangPatience(j *ledger.Job) time.Duration {
-	patience := l.n.operator.Silent
-	for _, o := range l.n.settings.Objectives {
-		if o.Kind == config.KindWait && o.Class == j.Spec.Class && o.Within > 0 {
-			patience = min(patience, o.Within/startShare)
-		}
-	}
-	return patience
-}
-
 // gangKind is what a gang of a class needs.
 type gangKind struct {
 	spec  *job.Spec
@@ -160,3 +148,6 @@
 	}
 	return false
 }
+
+// lasts tells whether a job's tasks do not end by themselves.
+func lasts(j *ledger.Job) bool { return j.Spec.Shape == job.Service }
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -106,7 +106,7 @@
 			st.free = st.free.Add(job.need, -1)
 			st.tasks = append(st.tasks, placement.Task{ID: i, Need: job.need,
 				Priority: h.Job.Spec.Rank(), Team: job.team, Since: h.Since, Stopping: h.Stopping,
-				Mates: l.mates(h.Job), Lasts: lasts(h.Job)})
+				Mates: l.mates(h.Job), Lasts: lasts(h.Job), Long: l.expect(h.Job) > soonEnds.Seconds()})
 		}
 	}
 	for _, h := range st.holds {
@@ -193,7 +193,7 @@
 		s := j.Spec
 		jobs[i] = placement.Job{Team: st.team, Priority: l.priority(j), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
 			Waiting: l.wanted(j), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
-			Gang: j.Gang(), Hold: j.Gang() && now.Sub(j.At) > l.gangPatience(j), Tasks: s.Tasks,
+			Gang: j.Gang(), Tasks: s.Tasks,
 			Urgent: s.Shape == job.Service, Displace: l.displaces(j, now) && !beyond[j], Overdue: now.Sub(j.At) > beginBy && j.LiveTasks() == 0 && j.DoneTasks() == 0, Avoid: l.avoid(st)}
 		jobs[i].Image, jobs[i].Costly = l.images(j, images)
 		var known bool
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -13,9 +13,7 @@
 // Shape says how a job's tasks run.
 type Shape string
 
-// The shapes. The protocol's page lists arrays and services; gangs, whose tasks
-// start together or not at all, are sent by the bench's check of real processes
-// under the name below (see docs/questions.md).
+// The shapes. The tasks of a gang run at the same time or not at all.
 const (
 	Array   Shape = "array"
 	Service Shape = "service"
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -13,9 +13,9 @@
 
 // Each line of a trace's input is a word followed by fields such as cpu=4:
 //
-//	machine zone= cpu= ram= load= [spot] [task=CPU:PRIORITY:AGE[:TEAM]]...
+//	machine zone= cpu= ram= load= [spot] [task=CPU:PRIORITY:AGE[:TEAM]] [lasting=CPU]...
 //	team max= [used=] [guest]
-//	job team= prio= at= cpu= ram= tasks= [zone=] [spot] [onezone] [apart] [gang] [urgent] [displace] [costly] [beyond] [ratio=] [hold] [tocome] [warm=M [coming=M]]
+//	job team= prio= at= cpu= ram= tasks= [zone=] [spot] [onezone] [apart] [gang] [urgent] [displace] [costly] [beyond] [ratio=] [tocome] [warm=M [coming=M]]
 //	load SECONDS TASKS   the index of one machine with so many tasks for so long
 //	place
 func TestTraces(t *testing.T) { tracetest.Run(t, replay) }
@@ -66,13 +66,17 @@
 					m.Free[CPU] -= cpu
 				}
 			}
+			if cpu := number("lasting", 0); cpu > 0 {
+				m.Tasks = append(m.Tasks, Task{ID: len(m.Tasks), Need: Amounts{CPU: cpu}, Priority: 1, Since: now, Long: true})
+				m.Free[CPU] -= cpu
+			}
 			machines = append(machines, m)
 		case "team":
 			teams = append(teams, Team{CPUsMax: number("max", 100), CPUsUsed: number("used", 0), Guest: flag("guest")})
 		case "job":
 			j := Job{Team: int(number("team", 0)), Priority: int(number("prio", 1)), Arrival: uint64(number("at", 0)),
 				Need: Amounts{CPU: number("cpu", 1), Memory: number("ram", 1)}, Waiting: int(number("tasks", 1)), Tasks: int(number("tasks", 1)),
-				Zone: int(number("zone", -1)), Spot: flag("spot"), OneZone: flag("onezone"), Apart: flag("apart"), Gang: flag("gang"), Hold: flag("hold"), ToCome: flag("tocome"),
+				Zone: int(number("zone", -1)), Spot: flag("spot"), OneZone: flag("onezone"), Apart: flag("apart"), Gang: flag("gang"), ToCome: flag("tocome"),
 				Urgent: flag("urgent"), Displace: flag("displace"), Costly: flag("costly"), Overdue: flag("overdue"), Beyond: flag("beyond"), Ratio: number("ratio", 0), InZone: make([]int, zones)}
 			if w := int(number("warm", -1)); w >= 0 {
 				j.Image = make([]Image, len(machines))
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -29,6 +29,7 @@
 	Since    time.Time
 	Mates    int  // tasks on other machines that lose as much when it is stopped
 	Lasts    bool // does not end by itself
+	Long     bool // does, but not soon
 	Stopping bool
 }
 
@@ -47,7 +48,6 @@
 	OneZone  bool
 	Apart    bool
 	Gang     bool    // placed whole or not at all
-	Hold     bool    // a gang that has waited long enough for room to be kept free for it
 	ToCome   bool    // a gang that is not there yet, for which room is kept free
 	Tasks    int     // of the job in all
 	InZone   []int   // of its tasks not done or now on machines, by zone
@@ -331,7 +331,7 @@
 		return
 	}
 	p.out.Starved[i] = j.Waiting
-	if j.Hold && p.teams[j.Team].fits(j.Need, j.Waiting) {
+	if p.teams[j.Team].fits(j.Need, j.Waiting) {
 		p.hold(j, zones)
 	}
 }
@@ -382,8 +382,9 @@
 }
 
 // hold closes machines to all that comes behind a gang in this pass: those that have
-// most room for it, with what will be free once tasks that end by themselves have ended,
-// in the zone that needs the fewest, as many as hold it whole.
+// most room for it, with what will be free once tasks that end soon have ended, in the
+// zone that needs the fewest, as many as hold it whole. For one that is overdue those that
+// end late count too, or it might never begin; for others they would keep room idle.
 //
 // Exception to the design (priority, then arrival, each to the lowest index): small tasks
 // take every gap as soon as it is there, and a gang waits for all its gaps at once, which
@@ -401,7 +402,7 @@
 			}
 			then := m.Free
 			for _, t := range m.Tasks {
-				if !t.Lasts || t.Stopping {
+				if t.Stopping || !t.Lasts && (!t.Long || j.Overdue) {
 					then = then.Add(t.Need, 1)
 				}
 			}
