--- a/internal/controller/gang_test.go
+++ b/internal/controller/gang_test.go
@@ -394,3 +394,24 @@
 		}
 	})
 }
+
+// Room that is kept free for gangs to come keeps no other job waiting for long, though
+// machines are full of what came before.
+func TestRoomForGangsKeepsNoJobWaiting(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.cloud.Capacity, c.limit = 6, 96
+		c.restartAll()
+		time.Sleep(2 * time.Second)
+		c.runGang(gang(16, 60)) // one as large may come again
+		for i := 1; i <= 3; i++ {
+			c.accept(10*time.Second, i%3, submission(jobID(i), job.Array, 8, 600))
+		}
+		low := submission("wk-000009", job.Array, 2, 600)
+		low["rank"] = "best_effort"
+		c.accept(10*time.Second, 0, low)
+		for i := 1; i <= 3; i++ {
+			c.until("begun", 90*time.Second, func() bool { return c.referee.OnOf(jobID(i)) > 0 })
+		}
+		c.until("the least urgent has begun", 90*time.Second, func() bool { return c.referee.OnOf("wk-000009") > 0 })
+	})
+}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -188,13 +188,17 @@
 	jobs := make([]placement.Job, len(waiting))
 	images := map[string][]placement.Image{}
 	beyond := l.beyond()
+	late := beginBy
+	if !l.gangs.Empty() {
+		late /= 2 // room kept for gangs keeps no job waiting for long
+	}
 	for i, j := range waiting {
 		st := l.jobs[j]
 		s := j.Spec
 		jobs[i] = placement.Job{Team: st.team, Priority: l.priority(j), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
 			Waiting: l.wanted(j), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
 			Gang: j.Gang(), Tasks: s.Tasks,
-			Urgent: s.Shape == job.Service, Displace: l.displaces(j, now) && !beyond[j], Overdue: now.Sub(j.At) > beginBy && j.LiveTasks() == 0 && j.DoneTasks() == 0, Avoid: l.avoid(st)}
+			Urgent: s.Shape == job.Service, Displace: l.displaces(j, now) && !beyond[j], Overdue: now.Sub(j.At) > late && j.LiveTasks() == 0 && j.DoneTasks() == 0, Avoid: l.avoid(st)}
 		jobs[i].Image, jobs[i].Costly = l.images(j, images)
 		var known bool
 		if jobs[i].InZone, known = l.inZones(j); !known && (s.OneZone || s.Apart) {
@@ -207,6 +211,9 @@
 	for _, a := range plan.Assign {
 		j, m := waiting[a.Job], l.fleet.At(a.Machine)
 		task := j.NextStartable(next[a.Job], int(l.n.valueBytes.Load()))
+		if task < 0 {
+			continue // the state service has shown meanwhile that it takes less
+		}
 		next[a.Job] = task + 1
 		if tries[a.Job] == 0 || !jobs[a.Job].Gang {
 			tries[a.Job] = l.book.NextTry(l.reign.Term())
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -152,10 +152,11 @@
 // and as many writes for one, machines were rented for them, and they counted in their
 // team's guarantee before the good ones (operations of both ops deployments).
 func (l *lead) wanted(j *ledger.Job) int {
+	n := j.Startable(int(l.n.valueBytes.Load()))
 	if l.jobs[j].failing() && !j.Gang() {
-		return min(1, j.WaitingTasks())
+		return min(1, n)
 	}
-	return j.Startable(int(l.n.valueBytes.Load()))
+	return n
 }
 
 func (l *lead) outcome(m *fleet.Machine, o fleet.Outcome, now time.Time) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -423,6 +423,9 @@
 	if n := write(small, now); n != 0 || j.Startable(small) != 0 || j.Startable(8<<10) != 20 {
 		t.Errorf("%d written, %d and %d may start", n, j.Startable(small), j.Startable(8<<10))
 	}
+	if task := j.NextStartable(0, small); task != -1 {
+		t.Errorf("task %d may start where none may", task)
+	}
 	for rest := live[20:]; j.DoneTasks() < 300; {
 		k := min(50, len(rest))
 		for _, a := range rest[:k] {
