--- a/internal/controller/upgrade_test.go
+++ b/internal/controller/upgrade_test.go
@@ -317,6 +317,10 @@
 	simulate(t, func(c *cluster) {
 		c.large()
 		c.runService(8)
+		many := submission("wk-000050", job.Service, 80, 0) // more than fit a chunk later
+		many["cpus"], many["ram_gb"] = 0.25, 0.25
+		c.accept(10*time.Second, 0, many)
+		c.until("all replicas run", time.Minute, func() bool { return c.referee.OnOf("wk-000050") == 80 })
 		want := map[string]string{}
 		for i := 2; i < 6; i++ {
 			c.accept(10*time.Second, i%3, submission(jobID(i), job.Array, 200, 12))
@@ -349,11 +353,19 @@
 		if n := c.referee.OnOf("wk-000001"); n != 8 {
 			t.Errorf("%d of 8 replicas on", n)
 		}
+		for _, w := range c.cloud.Machines() {
+			if w.Has("wk-000050") {
+				w.Hang(true)
+				break
+			}
+		}
+		c.until("a replica is lost", 30*time.Second, func() bool { return c.referee.OnOf("wk-000050") < 80 })
+		c.until("all replicas run again", 2*time.Minute, func() bool { return c.referee.OnOf("wk-000050") == 80 })
 		if large, many := c.store.Refused(); large > 30 || large+many == 0 {
 			t.Errorf("%d transactions refused as too large, %d as too many", large, many)
 		}
 		c.until("nothing left behind", time.Minute, func() bool {
-			return len(c.store.Keys(ledger.JobPrefix)) == 2 // the service and its tasks
+			return len(c.store.Keys(ledger.JobPrefix)) == 2+4 // the services and their tasks
 		})
 	})
 }
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -37,6 +37,8 @@
 	Ops    []statestore.Op
 	chunks []chunkWrite
 	ends   []endWrite
+
+	layouts []layoutWrite
 }
 
 type chunkWrite struct {
@@ -56,6 +58,9 @@
 // left out once there are spareOps, and what is larger than the state service takes for
 // as long as it is. One batch is in flight at a time.
 func (b *Book) NextBatch(fence statestore.Cond, maxOps, spareOps, valueBytes int, now time.Time) *Batch {
+	if bt := b.nextLayout(fence, maxOps, valueBytes); bt != nil {
+		return bt
+	}
 	type cand struct {
 		j   *Job
 		c   *chunk // nil: the job's end
@@ -223,6 +228,9 @@
 		}
 		b.clean(w.j)
 	}
+	for i := range bt.layouts {
+		starts = append(starts, b.laidOut(&bt.layouts[i], rev)...)
+	}
 	for _, w := range bt.ends {
 		for _, n := range w.gone {
 			delete(w.j.chunks, n)
@@ -249,6 +257,17 @@
 		w.c.starts += len(w.starts)
 		b.dirty[w.j] = struct{}{}
 	}
+	for _, w := range bt.layouts {
+		for _, c := range w.chunks {
+			c.dirty = true
+		}
+		for _, a := range w.starts {
+			if c := w.chunks[a.Task/w.j.record.Chunk]; c != nil && w.j.live[a.Task] == a {
+				c.starts++
+			}
+		}
+		b.dirty[w.j] = struct{}{}
+	}
 }
 
 // ChunkRev takes the revision found when a chunk's condition has failed: an
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -313,6 +313,9 @@
 		j.Arrival = rec.Arrival
 	}
 	newlyCancelled := rec.CancelledMS != 0 && !j.Cancelled
+	if !fresh && rec.Chunk != j.record.Chunk {
+		b.layOut(j, rec.Chunk, j.At) // an unanswered write of ours was applied
+	}
 	j.record, j.Rev = rec, rev
 	if newlyCancelled {
 		j.Cancelled, j.CancelledAt = true, time.UnixMilli(rec.CancelledMS)
@@ -524,8 +527,12 @@
 }
 
 func (j *Job) chunkValue(n int) *chunkValue {
-	first := n * j.record.Chunk
-	last := min(first+j.record.Chunk, len(j.tasks))
+	return j.valueOf(n*j.record.Chunk, j.record.Chunk)
+}
+
+// valueOf returns the value of a chunk of so many tasks from first on.
+func (j *Job) valueOf(first, size int) *chunkValue {
+	last := min(first+size, len(j.tasks))
 	var v chunkValue
 	var sb strings.Builder
 	for t := first; t < last; t++ {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -444,3 +446,141 @@
 		t.Error("the job's end is not recorded")
 	}
 }
+
+// store is what a state service holds of a book's writes.
+type store struct {
+	rev  uint64
+	keys map[string]statestore.Item
+}
+
+// apply carries out a batch if its conditions hold.
+func (s *store) apply(bt *Batch) (rev uint64, ok bool) {
+	for _, c := range bt.Conds[1:] {
+		if s.keys[c.Key].Rev != c.Rev {
+			return s.rev, false
+		}
+	}
+	s.rev++
+	for _, op := range bt.Ops {
+		if op.Put == "" {
+			delete(s.keys, op.Delete)
+			continue
+		}
+		s.keys[op.Put] = statestore.Item{Key: op.Put, Value: op.Value, Rev: s.rev}
+	}
+	return s.rev, true
+}
+
+// read returns the book of a new leader.
+func (s *store) read(t *testing.T) *Book {
+	t.Helper()
+	b := NewBook()
+	for _, key := range slices.Sorted(maps.Keys(s.keys)) {
+		id, n, _ := SplitKey(key)
+		it := s.keys[key]
+		var err error
+		if n < 0 {
+			_, _, err = b.PutJob(it.Value, it.Rev)
+		} else {
+			err = b.PutChunk(id, n, it.Value, it.Rev)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return b
+}
+
+// A service that was laid out for larger values than the state service takes by now is laid
+// out anew when a replica of it has to start again, also if the answer to that is lost or
+// more changes meanwhile; a new leader finds every attempt.
+func TestServiceLaidOutAnew(t *testing.T) {
+	const small, replicas = 2 << 10, 100
+	for _, name := range []string{"answered", "answer lost", "the watch is first", "changes meanwhile", "not applied"} {
+		t.Run(name, func(t *testing.T) {
+			s := &store{keys: map[string]statestore.Item{}}
+			r := Record{Spec: &job.Spec{ID: "wk-000001", Shape: job.Service, Priority: "high", Tasks: replicas, CPUs: 1}, Chunk: ChunkSize(8 << 10)}
+			s.apply(&Batch{Conds: []statestore.Cond{fence}, Ops: []statestore.Op{{Put: JobKey("wk-000001"), Value: wire.Marshal(r)}}})
+			b := s.read(t)
+			j := b.Job("wk-000001")
+			for task := range replicas {
+				b.Start(j, task, b.NextTry(1), "vm-000001", 1, t0)
+			}
+			commit := func(valueBytes int, now time.Time) bool {
+				bt := b.NextBatch(fence, 4, 4, valueBytes, now)
+				if bt == nil {
+					return false
+				}
+				for _, op := range bt.Ops {
+					if len(op.Value) > valueBytes {
+						t.Fatalf("a value of %d bytes", len(op.Value))
+					}
+				}
+				if rev, ok := s.apply(bt); ok {
+					b.Committed(bt, rev)
+					return true
+				}
+				b.Failed(bt)
+				for key, it := range s.keys { // as a leader reads what has conflicted
+					if id, n, _ := SplitKey(key); n >= 0 {
+						b.ChunkRev(id, n, it.Rev)
+					}
+				}
+				return true
+			}
+			commit(8<<10, t0)
+			now := t0.Add(time.Minute)
+			b.End(j.LiveAttempt(50), false, now)
+			if j.Startable(small) != 0 {
+				t.Fatal("it may start before there is room for it")
+			}
+			bt := b.NextBatch(fence, 4, 4, small, now.Add(time.Minute))
+			if bt == nil || len(bt.Ops) != 4 {
+				t.Fatalf("not laid out anew: %+v", bt)
+			}
+			record := func() {
+				it := s.keys[JobKey("wk-000001")]
+				if _, _, err := b.PutJob(it.Value, it.Rev); err != nil {
+					t.Fatal(err)
+				}
+			}
+			switch name {
+			case "answered":
+				rev, _ := s.apply(bt)
+				b.Committed(bt, rev)
+			case "answer lost":
+				s.apply(bt)
+				b.Failed(bt)
+				record()
+			case "the watch is first":
+				rev, _ := s.apply(bt)
+				record()
+				b.Committed(bt, rev)
+			case "changes meanwhile":
+				rev, _ := s.apply(bt)
+				b.End(j.LiveAttempt(7), false, now)
+				b.Committed(bt, rev)
+			case "not applied":
+				b.Failed(bt)
+				commit(small, now.Add(time.Minute))
+			}
+			for task := j.NextStartable(0, small); task >= 0; task = j.NextStartable(0, small) {
+				b.Start(j, task, b.NextTry(1), "vm-000002", 1, now)
+			}
+			for range 20 {
+				now = now.Add(time.Minute)
+				commit(small, now)
+			}
+			again := s.read(t).Job("wk-000001")
+			for task := range replicas {
+				mine, kept := j.LiveAttempt(task), again.LiveAttempt(task)
+				if mine == nil || kept == nil || !mine.Recorded || mine.Try != kept.Try || mine.Machine != kept.Machine {
+					t.Fatalf("task %d: %+v, kept %+v", task, mine, kept)
+				}
+			}
+			if again.record.Chunk != ChunkSize(small) || again.Arrival != j.Arrival {
+				t.Errorf("laid out for %d tasks, arrived at %d and %d", again.record.Chunk, again.Arrival, j.Arrival)
+			}
+		})
+	}
+}
