--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -264,25 +264,16 @@
 	return f
 }
 
-// lowered reads limits to come; what is not named stays.
+// lowered reads limits to come; what is not named stays, and none is higher than now.
 func (o object) lowered(now State) *State {
-	next := now
-	for name, f := range map[string]func(float64){
-		"rps":       func(v float64) { next.RPS = v },
-		"write_rps": func(v float64) { next.WriteRPS = v },
-		"value_kb":  func(v float64) { next.ValueBytes = int(v * 1024) },
-		"txn_ops":   func(v float64) { next.TxnOps = int(v) },
-	} {
-		least := 1.0
-		if name == "txn_ops" {
-			least = 3
-		}
-		if v := o.optional(name, least, 1e9); v != 0 {
-			f(v)
+	read := func(name string, least, now float64) float64 {
+		if o.fields[name] == nil {
+			return now
 		}
+		return min(now, o.number(name, least, 1e9))
 	}
-	next.RPS, next.WriteRPS = min(next.RPS, now.RPS), min(next.WriteRPS, now.WriteRPS)
-	return &next
+	return &State{RPS: read("rps", 1, now.RPS), WriteRPS: read("write_rps", 1, now.WriteRPS),
+		ValueBytes: int(read("value_kb", 1, float64(now.ValueBytes)/1024) * 1024), TxnOps: int(read("txn_ops", 3, float64(now.TxnOps)))}
 }
 
 func (o object) optional(name string, least, most float64) float64 {
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -37,8 +37,7 @@
 	Ops    []statestore.Op
 	chunks []chunkWrite
 	ends   []endWrite
-
-	layouts []layoutWrite
+	layout *layoutWrite // nil: of none
 }
 
 type chunkWrite struct {
@@ -228,8 +227,8 @@
 		}
 		b.clean(w.j)
 	}
-	for i := range bt.layouts {
-		b.laidOut(&bt.layouts[i], rev)
+	if bt.layout != nil {
+		b.laidOut(bt.layout, rev)
 	}
 	for _, w := range bt.ends {
 		for _, n := range w.gone {
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -551,12 +551,8 @@
 }
 
 func (j *Job) chunkValue(n int) *chunkValue {
-	return j.valueOf(n*j.record.Chunk, j.record.Chunk)
-}
-
-// valueOf returns the value of a chunk of so many tasks from first on.
-func (j *Job) valueOf(first, size int) *chunkValue {
-	last := min(first+size, len(j.tasks))
+	first := n * j.record.Chunk
+	last := min(first+j.record.Chunk, len(j.tasks))
 	var v chunkValue
 	var sb strings.Builder
 	for t := first; t < last; t++ {
--- a/internal/ledger/layout.go
+++ b/internal/ledger/layout.go
@@ -39,13 +39,13 @@
 	if next == nil || maxOps < 1 {
 		return nil
 	}
-	w := layoutWrite{j: next, record: next.record}
+	w := &layoutWrite{j: next, record: next.record}
 	w.record.Chunk, w.record.Base, w.record.Was, w.record.Arrival = size, newBase, next.record.Chunk, next.Arrival
 	key := JobKey(next.Spec.ID)
 	return &Batch{
-		Conds:   []statestore.Cond{fence, {Key: key, Rev: next.Rev}},
-		Ops:     []statestore.Op{{Put: key, Value: wire.Marshal(w.record)}},
-		layouts: []layoutWrite{w},
+		Conds:  []statestore.Cond{fence, {Key: key, Rev: next.Rev}},
+		Ops:    []statestore.Op{{Put: key, Value: wire.Marshal(w.record)}},
+		layout: w,
 	}
 }
 
