--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -15,7 +15,9 @@
 
 	"tulipshelf/internal/cloud"
 	"tulipshelf/internal/config"
+	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/job"
+	"tulipshelf/internal/leadership"
 	"tulipshelf/internal/ledger"
 	"tulipshelf/internal/standin"
 	"tulipshelf/internal/wire"
@@ -494,6 +496,32 @@
 	})
 }
 
+// A node's servers find a new reign before its loop runs: reports wait for it, and are
+// refused if it ends first. One that came in that moment ended the whole process.
+func TestReportsBeforeReignRuns(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.until("leader", 10*time.Second, func() bool { return c.leader() >= 0 })
+		n := c.nodes[(c.leader()+1)%3]
+		ctx, cancel := context.WithCancelCause(context.Background())
+		l := newLead(ctx, n, &leadership.Reign{})
+		n.lead.Store(l)
+		defer n.lead.CompareAndSwap(l, nil)
+		var resp wire.Response
+		go func() {
+			resp = n.report(context.Background(), wire.Marshal(fleet.Report{Machine: "vm-000001", Session: 1, Tick: 1}))
+		}()
+		synctest.Wait()
+		if len(l.events) == 0 || resp.Status != 0 {
+			t.Errorf("%d reports wait, answered %d", len(l.events), resp.Status)
+		}
+		cancel(nil)
+		synctest.Wait()
+		if resp.Status != 503 {
+			t.Errorf("answered %d", resp.Status)
+		}
+	})
+}
+
 // In an outage of the state service workers keep their leases, nothing starts
 // and nobody is told anything that is not durable.
 func TestOutage(t *testing.T) {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -28,7 +28,7 @@
 type lead struct {
 	n      *Node
 	reign  *leadership.Reign
-	ctx    context.Context
+	ctx    context.Context // ends with the reign
 	events chan func()
 	wg     sync.WaitGroup
 
@@ -106,9 +106,9 @@
 
 const maxEvents = 512
 
-func newLead(n *Node, r *leadership.Reign) *lead {
+func newLead(ctx context.Context, n *Node, r *leadership.Reign) *lead {
 	l := &lead{
-		n: n, reign: r,
+		n: n, reign: r, ctx: ctx,
 		events:    make(chan func(), maxEvents),
 		typeIndex: map[string]int{}, zoneIndex: map[string]int{}, teamIndex: map[string]int{},
 		book: ledger.NewBook(), fleet: fleet.New(),
@@ -173,13 +173,12 @@
 
 var errDeposed = errors.New("controller: another term has begun")
 
-// run loads the records and then runs the loop until ctx ends or this leader
-// finds that it is deposed.
-func (l *lead) run(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
+// run loads the records and then runs the loop until its context ends or this leader
+// finds that it is deposed, which it tells by cancel.
+func (l *lead) run(cancel context.CancelCauseFunc) error {
+	ctx := l.ctx
 	defer l.wg.Wait()
 	defer cancel(nil)
-	l.ctx = ctx
 	rev, err := l.load(ctx)
 	if err != nil {
 		return err
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -274,10 +274,11 @@
 }
 
 func (n *Node) reign(ctx context.Context, r *leadership.Reign) {
-	l := newLead(n, r)
-	n.lead.Store(l)
+	reign, cancel := context.WithCancelCause(ctx)
+	l := newLead(reign, n, r)
+	n.lead.Store(l) // from here on reports come, also before it runs (TestReportsBeforeReignRuns)
 	defer n.lead.CompareAndSwap(l, nil)
-	if err := l.run(ctx); err != nil && ctx.Err() == nil {
+	if err := l.run(cancel); err != nil && ctx.Err() == nil {
 		slog.Error("reign ended", "term", r.Term(), "err", err)
 		r.Resign(context.WithoutCancel(ctx))
 	}
