--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -135,7 +135,7 @@
 			cancel()
 			time.Sleep(10 * time.Second) // let what was under way come to its end
 			synctest.Wait()
-			for _, fault := range c.referee.Faults {
+			for _, fault := range c.referee.Faults() {
 				t.Error("rule broken: " + fault)
 			}
 		}()
@@ -177,9 +177,16 @@
 	<-c.ended[i]
 }
 
+// offer sets how many machines there are in all, and how many CPUs the team may use, as
+// controllers started from then on are told.
+func (c *cluster) offer(machines int, limit float64) {
+	c.cloud.Change(func(cl *standin.Cloud) { cl.Capacity = machines })
+	c.limit = limit
+}
+
 // large starts the controllers anew with room for 24 machines.
 func (c *cluster) large() {
-	c.cloud.Capacity, c.limit = 24, 96
+	c.offer(24, 96)
 	c.restartAll()
 	time.Sleep(2 * time.Second)
 }
@@ -204,7 +211,7 @@
 // startedOnce checks that no task was started twice.
 func (c *cluster) startedOnce() {
 	c.t.Helper()
-	for task, n := range c.referee.Starts {
+	for task, n := range c.referee.Begun() {
 		if n != 1 {
 			c.t.Errorf("%s started %d times", task, n)
 		}
@@ -547,7 +554,7 @@
 		c.store.Down(false)
 		c.accept(10*time.Second, 0, submission("wk-000002", job.Array, 1, 1))
 		c.until("array done", time.Minute, c.done("wk-000002"))
-		if n := c.referee.Starts["wk-000001/0"]; n != 1 {
+		if n := c.referee.Begun()["wk-000001/0"]; n != 1 {
 			t.Errorf("replica started %d times", n)
 		}
 	})
@@ -571,7 +578,7 @@
 				c.store.Down(false)
 				c.until("answered", 5*time.Second, func() bool { return c.status(0, "wk-000001") == ledger.Cancelled })
 				time.Sleep(time.Minute)
-				if n := c.referee.Starts["wk-000001/0"]; n != 1 {
+				if n := c.referee.Begun()["wk-000001/0"]; n != 1 {
 					t.Errorf("started %d times", n)
 				}
 			})
@@ -605,7 +612,7 @@
 			t.Errorf("ready on the node cut off: %d, want 503", got)
 		}
 		c.net.Cut(nil)
-		if n := c.referee.Starts["wk-000001/0"]; n != 1 || c.referee.On() != 2 {
+		if n := c.referee.Begun()["wk-000001/0"]; n != 1 || c.referee.On() != 2 {
 			t.Errorf("started %d times, %d on", n, c.referee.On())
 		}
 	})
@@ -621,7 +628,7 @@
 		time.Sleep(40 * time.Second) // longer than the lease
 		c.net.Cut(nil)
 		time.Sleep(20 * time.Second)
-		if n := c.referee.Starts["wk-000001/0"]; n != 1 || c.referee.On() != 12 {
+		if n := c.referee.Begun()["wk-000001/0"]; n != 1 || c.referee.On() != 12 {
 			t.Errorf("started %d times, %d on", n, c.referee.On())
 		}
 	})
@@ -721,7 +728,7 @@
 // larger tasks would then be entitled.
 func TestSmallTasksRentLittle(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.cloud.Capacity, c.limit = 60, 1000
+		c.offer(60, 1000)
 		c.restartAll()
 		time.Sleep(2 * time.Second)
 		tiny := submission("wk-000002", job.Array, 800, 20)
@@ -740,7 +747,7 @@
 // A new leader that has rented machines goes on renting while they boot.
 func TestRentsWhileBooting(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.cloud.Lag = 4 * time.Second
+		c.cloud.Change(func(cl *standin.Cloud) { cl.Lag = 4 * time.Second })
 		c.until("ready", 3*time.Second, func() bool { return c.submit(0, submission("wk-000001", job.Service, 4, 0)) == 201 })
 		c.until("a machine rented", 3*time.Second, func() bool { return len(c.cloud.Machines()) > 0 })
 		c.accept(time.Second, 0, submission("wk-000002", job.Service, 12, 0))
@@ -762,7 +769,7 @@
 		})
 		c.until("array done on the machines there are", time.Minute, c.done("wk-000002"))
 		c.cloud.Down(false)
-		if n := c.referee.Starts["wk-000001/0"]; n != 1 {
+		if n := c.referee.Begun()["wk-000001/0"]; n != 1 {
 			t.Errorf("replica started %d times", n)
 		}
 	})
@@ -783,13 +790,13 @@
 		for _, w := range c.cloud.Machines() {
 			w.Notice(30 * time.Second)
 		}
-		c.until("service moved", 25*time.Second, func() bool { return c.referee.Starts["wk-000001/0"] == 2 })
-		if c.referee.Starts["wk-000002/0"] != 1 || time.Since(begin) > 20*time.Second {
+		c.until("service moved", 25*time.Second, func() bool { return c.referee.Begun()["wk-000001/0"] == 2 })
+		if c.referee.Begun()["wk-000002/0"] != 1 || time.Since(begin) > 20*time.Second {
 			t.Errorf("task that saves was moved %v after the notice", time.Since(begin))
 		}
-		c.until("task that saves moved", 40*time.Second, func() bool { return c.referee.Starts["wk-000002/0"] == 2 })
-		c.until("other task done where it was", time.Minute, func() bool { return c.referee.Done["wk-000003/0"] })
-		if n := c.referee.Starts["wk-000003/0"]; n != 1 {
+		c.until("task that saves moved", 40*time.Second, func() bool { return c.referee.Begun()["wk-000002/0"] == 2 })
+		c.until("other task done where it was", time.Minute, func() bool { return c.referee.Ended("wk-000003/0") })
+		if n := c.referee.Begun()["wk-000003/0"]; n != 1 {
 			t.Errorf("task that cannot save was started %d times", n)
 		}
 	})
--- a/internal/controller/gang_test.go
+++ b/internal/controller/gang_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -226,7 +227,7 @@
 // A service that needs the room of a gang stops all of it in order, not one task.
 func TestGangMakesRoom(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.cloud.Capacity, c.limit = 4, 96
+		c.offer(4, 96)
 		c.restartAll()
 		time.Sleep(2 * time.Second)
 		m := gang(16, 60)
@@ -337,14 +338,14 @@
 // all the same, and room is not kept free for it for long.
 func TestGangNotStarved(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.cloud.Capacity, c.limit = 6, 96
+		c.offer(6, 96)
 		c.restartAll()
 		time.Sleep(2 * time.Second)
-		stop := false
+		var stop atomic.Bool
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			for i := 1; !stop && i < 400; i++ {
+			for i := 1; !stop.Load() && i < 400; i++ {
 				c.accept(20*time.Second, i%3, submission(fmt.Sprintf("wk-%06d", i), job.Array, 12, 8))
 				time.Sleep(3 * time.Second)
 			}
@@ -356,7 +357,7 @@
 		m := gang(16, 10)
 		c.accept(10*time.Second, 0, m)
 		c.until("gang runs", 40*time.Second, func() bool { return c.cloud.Gangs.Counted().Began == 1 })
-		stop = true
+		stop.Store(true)
 		<-ended
 		c.until("done", time.Minute, c.done(gangID))
 	})
@@ -365,7 +366,7 @@
 // Two gangs that fit only one after the other never hold a part each.
 func TestTwoGangs(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.cloud.Capacity, c.limit = 6, 96
+		c.offer(6, 96)
 		c.restartAll()
 		time.Sleep(2 * time.Second)
 		ids := []string{"wk-000501", "wk-000502", "wk-000503"}
@@ -399,7 +400,7 @@
 // machines are full of what came before.
 func TestRoomForGangsKeepsNoJobWaiting(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.cloud.Capacity, c.limit = 6, 96
+		c.offer(6, 96)
 		c.restartAll()
 		time.Sleep(2 * time.Second)
 		c.runGang(gang(16, 60)) // one as large may come again
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -226,7 +226,7 @@
 func TestLargeArrayOfShortTasks(t *testing.T) {
 	simulate(t, func(c *cluster) {
 		const tasks = 6000
-		c.cloud.Capacity, c.limit = 24, 96
+		c.offer(24, 96)
 		c.restartAll()
 		time.Sleep(2 * time.Second)
 		large := submission("wk-000001", job.Array, tasks, 4)
--- a/internal/controller/together_test.go
+++ b/internal/controller/together_test.go
@@ -128,7 +128,7 @@
 	for name, hang := range map[string]bool{"hang": true, "cut off": false} {
 		t.Run(name, func(t *testing.T) {
 			simulate(t, func(c *cluster) {
-				c.cloud.Capacity = 24
+				c.offer(24, c.limit)
 				time.Sleep(2 * time.Second)
 				for i := range 4 {
 					c.accept(5*time.Second, i%3, submission(jobID(i), job.Service, 4, 0))
@@ -241,7 +241,7 @@
 // New machines are up at once and get work while writes lag, and the leader ends.
 func TestFastMachinesLateWrites(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.cloud.Type.BootS, c.cloud.Capacity = 0.5, 24
+		c.cloud.Change(func(cl *standin.Cloud) { cl.Type.BootS, cl.Capacity = 0.5, 24 })
 		time.Sleep(2 * time.Second)
 		c.store.LateWrites(3)
 		want := map[string]string{}
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -511,7 +511,8 @@
 func TestTwoThousandMachines(t *testing.T) {
 	const machines = 2000
 	simulate(t, func(c *cluster) {
-		c.cloud.Capacity, c.limit, c.rps = machines, 1e6, 800
+		c.offer(machines, 1e6)
+		c.rps = 800
 		c.restartAll()
 		time.Sleep(2 * time.Second)
 		id := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
--- a/internal/controller/upgrade_test.go
+++ b/internal/controller/upgrade_test.go
@@ -67,7 +67,7 @@
 		}
 	}
 	c.cloud.Begin(1000)
-	c.cloud.Capacity, c.limit = 24, 96
+	c.offer(24, 96)
 	for i := range 3 {
 		c.start(i)
 	}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -38,6 +38,13 @@
 		rentals: map[string][]string{}, machines: map[string]*Worker{}}
 }
 
+// Change changes what the cloud offers, while it serves.
+func (c *Cloud) Change(f func(*Cloud)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c)
+}
+
 // Begin numbers the machines from n on, as one does that has rented some before.
 func (c *Cloud) Begin(n int) {
 	c.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -27,9 +28,9 @@
 	on     map[string]place // by task
 	told   map[string]time.Time
 	zones  map[string]string // by task, where it started last
-	Faults []string
-	Starts map[string]int // by task
-	Done   map[string]bool
+	faults []string
+	starts map[string]int // by task
+	done   map[string]bool
 	late   int // starts after a user was told of the cancellation
 }
 
@@ -42,7 +43,7 @@
 // NewReferee returns a referee that has seen nothing.
 func NewReferee() *Referee {
 	return &Referee{jobs: map[string]*job.Spec{}, on: map[string]place{}, told: map[string]time.Time{}, zones: map[string]string{},
-		limits: map[string]float64{}, Starts: map[string]int{}, Done: map[string]bool{}}
+		limits: map[string]float64{}, starts: map[string]int{}, done: map[string]bool{}}
 }
 
 // Limit says how many CPUs a team may use at once.
@@ -81,8 +82,15 @@
 	return r.late
 }
 
+// Faults returns what has broken a rule so far.
+func (r *Referee) Faults() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.faults)
+}
+
 func (r *Referee) fault(format string, args ...any) {
-	r.Faults = append(r.Faults, fmt.Sprintf(format, args...))
+	r.faults = append(r.faults, fmt.Sprintf(format, args...))
 }
 
 // Know uploads a job's description, as users do.
@@ -122,14 +130,14 @@
 func (r *Referee) Ended(task string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Done[task]
+	return r.done[task]
 }
 
 // Begun returns how often each task has started so far.
 func (r *Referee) Begun() map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return maps.Clone(r.Starts)
+	return maps.Clone(r.starts)
 }
 
 func (r *Referee) start(task string, at place) (*job.Spec, bool) {
@@ -151,7 +159,7 @@
 	}
 	r.on[task] = at
 	r.zones[task] = at.zone
-	r.Starts[task]++
+	r.starts[task]++
 	r.place(task, id, s, at)
 	return s, true
 }
@@ -192,7 +200,7 @@
 	if r.on[task].machine == machine {
 		delete(r.on, task)
 	}
-	r.Done[task] = r.Done[task] || done
+	r.done[task] = r.done[task] || done
 }
 
 // Worker is one machine.
