--- a/internal/controller/together_test.go
+++ b/internal/controller/together_test.go
@@ -121,6 +121,53 @@
 	}
 }
 
+// Machines that reach no controller are told by a leader that has never heard of them: it
+// asks them, and so halts what is cancelled long before they would have to be returned.
+func TestMuteMachinesAtNewLeader(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.large()
+		c.runService(24)
+		c.accept(5*time.Second, 0, submission("wk-000002", job.Service, 8, 0))
+		c.until("both run", time.Minute, func() bool { return c.referee.On() == 32 })
+		c.mute(isWorker)
+		c.nextLeader()
+		c.until("cancelled", 10*time.Second, func() bool {
+			return c.ask(c.leader(), "POST", "/v1/jobs/wk-000001/abort", nil).Status == 200
+		})
+		c.until("cancelled tasks gone", 20*time.Second, func() bool { return c.referee.OnOf("wk-000001") == 0 })
+		if gone := c.cloud.Returned(); len(gone) > 0 {
+			t.Errorf("machines returned: %v", gone)
+		}
+		c.startedOnce()
+	})
+}
+
+// A job is cancelled while the starts of its tasks can't be recorded: they are taken back,
+// unsent, the job ends, and others of its team have their room and limit.
+func TestCancelledBeforeRecorded(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.large()
+		c.runService(80) // of 96 that the team may use
+		c.store.HoldBack(20, ledger.JobKey("wk-000002")+"/")
+		c.accept(5*time.Second, 0, submission("wk-000002", job.Service, 16, 0))
+		c.until("starts held back", 10*time.Second, func() bool { return c.store.Unanswered() > 0 })
+		c.abort(1, "wk-000002")
+		c.accept(5*time.Second, 2, submission("wk-000003", job.Array, 16, 5))
+		// A new term proves in half a minute that they were never sent; it need not come to that.
+		c.over(15*time.Second, map[string]string{"wk-000003": ledger.Done, "wk-000002": ledger.Cancelled})
+		c.until("the job ended", 20*time.Second, func() bool { return len(c.store.Keys(ledger.EndKey("wk-000002"))) == 1 })
+		if n := c.referee.Begun()["wk-000002/0"]; n != 0 {
+			t.Errorf("started %d times", n)
+		}
+		c.store.HoldBack(0, "")
+		c.store.Release()
+		time.Sleep(5 * time.Second)
+		if keys := c.store.Keys(ledger.JobKey("wk-000002")); len(keys) > 0 {
+			t.Errorf("late writes brought back %v", keys)
+		}
+	})
+}
+
 // A team is at its limit, its jobs are cancelled while half of its machines hang or are cut
 // off, and the leader changes: what can't be asked counts until it is proven gone (the
 // referee adds up), and then others of the team run.
