--- a/internal/controller/gang.go
+++ b/internal/controller/gang.go
@@ -15,9 +15,6 @@
 	"tulipshelf/internal/rental"
 )
 
-// soonEnds is how long a task may run for its room to be counted on for a gang.
-const soonEnds = 2 * time.Minute
-
 // mates returns how many tasks on other machines lose as much when one task stops.
 func (l *lead) mates(j *ledger.Job) int {
 	if j.Gang() {
@@ -149,5 +146,10 @@
 	return false
 }
 
-// lasts tells whether a job's tasks do not end by themselves.
-func lasts(j *ledger.Job) bool { return j.Spec.Shape == job.Service }
+// ends returns about when an attempt ends by itself; zero: it does not.
+func (l *lead) ends(h *fleet.Hold) time.Time {
+	if h.Job.Spec.Shape == job.Service {
+		return time.Time{}
+	}
+	return h.Since.Add(time.Duration(l.expect(h.Job) * float64(time.Second)))
+}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -106,7 +106,7 @@
 			st.free = st.free.Add(job.need, -1)
 			st.tasks = append(st.tasks, placement.Task{ID: i, Need: job.need,
 				Priority: h.Job.Spec.Rank(), Team: job.team, Since: h.Since, Stopping: h.Stopping,
-				Mates: l.mates(h.Job), Lasts: lasts(h.Job), Long: l.expect(h.Job) > soonEnds.Seconds()})
+				Mates: l.mates(h.Job), Ends: l.ends(h)})
 		}
 	}
 	for _, h := range st.holds {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -14,6 +14,7 @@
 // Each line of a trace's input is a word followed by fields such as cpu=4:
 //
 //	machine zone= cpu= ram= load= [spot] [task=CPU:PRIORITY:AGE[:TEAM]] [stopping=the same] [lasting=CPU]...
+//	A task is expected to run for a minute, a lasting one for five more.
 //	team max= [used=] [guest]
 //	job team= prio= at= cpu= ram= tasks= [zone=] [spot] [onezone] [apart] [gang] [urgent] [displace] [costly] [beyond] [ratio=] [tocome] [warm=M [coming=M]]
 //	load SECONDS TASKS   the index of one machine with so many tasks for so long
@@ -67,12 +68,12 @@
 						t.Fatalf("%q: %v", line, err)
 					}
 					m.Tasks = append(m.Tasks, Task{ID: len(m.Tasks), Need: Amounts{CPU: cpu}, Priority: prio, Team: team, Stopping: stopping,
-						Since: now.Add(-time.Duration(age) * time.Second)})
+						Since: now.Add(-time.Duration(age) * time.Second), Ends: now.Add(time.Duration(60-age) * time.Second)})
 					m.Free[CPU] -= cpu
 				}
 			}
 			if cpu := number("lasting", 0); cpu > 0 {
-				m.Tasks = append(m.Tasks, Task{ID: len(m.Tasks), Need: Amounts{CPU: cpu}, Priority: 1, Since: now, Long: true})
+				m.Tasks = append(m.Tasks, Task{ID: len(m.Tasks), Need: Amounts{CPU: cpu}, Priority: 1, Since: now, Ends: now.Add(5 * time.Minute)})
 				m.Free[CPU] -= cpu
 			}
 			machines = append(machines, m)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -27,12 +28,23 @@
 	Priority int
 	Team     int
 	Since    time.Time
-	Mates    int  // tasks on other machines that lose as much when it is stopped
-	Lasts    bool // does not end by itself
-	Long     bool // does, but not soon
+	Mates    int       // tasks on other machines that lose as much when it is stopped
+	Ends     time.Time // when it ends by itself, about; zero: it does not
 	Stopping bool
 }
 
+// left is for how long a task stays, about. One that has run for longer than was expected
+// is expected to run for a quarter longer.
+func (t *Task) left(now time.Time) time.Duration {
+	switch {
+	case t.Stopping:
+		return 0
+	case t.Ends.IsZero():
+		return math.MaxInt64
+	}
+	return max(t.Ends.Sub(now), now.Sub(t.Since)/4)
+}
+
 // Job is a job with waiting tasks.
 type Job struct {
 	Team     int
@@ -417,49 +429,83 @@
 	return t.CPUsUsed+k*need[CPU] <= t.CPUsMax+eps && t.GPUsUsed+k*need[GPU] <= t.GPUsMax+eps
 }
 
-// hold closes machines to all that comes behind a gang in this pass: those that have
-// most room for it, with what will be free once tasks that end soon have ended, in the
-// zone that needs the fewest, as many as hold it whole. For one that is overdue those that
-// end late count too, or it might never begin; for others they would keep room idle.
+// holdFor is how late the tasks may end whose room is waited for.
+const holdFor = 2 * time.Minute
+
+// hold closes machines to all that comes behind a gang in this pass: those that have room
+// for it soonest, as tasks end, in the zone that has room for all of it first, and of these
+// as few as hold it whole. For one that is overdue tasks that end late count too, or it
+// might never begin; for others they would keep room idle.
 //
 // Exception to the design (priority, then arrival, each to the lowest index): small tasks
 // take every gap as soon as it is there, and a gang waits for all its gaps at once, which
 // the design names as its weak spot. Forced by gangs of 12 that waited behind arrays for
 // as long as those came (trace gang-held).
 func (p *planner) hold(j *Job, zones []int) {
-	type gap struct{ machine, now, then int }
-	var best []gap
+	var best []int
+	var soonest time.Duration
 	for _, z := range zones {
-		var gaps []gap
-		for i := range p.machines {
-			m := &p.machines[i]
-			if !m.Open || !j.Allows(m) || j.avoids(i) || z >= 0 && m.Zone != z {
-				continue
-			}
-			then := m.Free
-			for _, t := range m.Tasks {
-				if t.Stopping || !t.Lasts && (!t.Long || j.Overdue) {
-					then = then.Add(t.Need, 1)
-				}
+		machines, at := p.roomFor(j, z)
+		if machines != nil && (best == nil || cmp.Or(cmp.Compare(at, soonest), len(machines)-len(best)) < 0) {
+			best, soonest = machines, at
+		}
+	}
+	for _, m := range best {
+		p.machines[m].Open = false
+	}
+}
+
+// roomFor returns the machines of a zone, or of any if it is negative, that will have room
+// for a whole gang first, and in what time; nil if they will not.
+func (p *planner) roomFor(j *Job, zone int) (machines []int, at time.Duration) {
+	late := holdFor
+	if j.Overdue {
+		late = math.MaxInt64 - 1
+	}
+	gaps := map[int][]time.Duration{} // by machine, when each will be there
+	var all []time.Duration
+	for i := range p.machines {
+		m := &p.machines[i]
+		if !m.Open || !j.Allows(m) || j.avoids(i) || zone >= 0 && m.Zone != zone {
+			continue
+		}
+		var when []time.Duration
+		free := m.Free
+		grow := func(at time.Duration) {
+			for n := free.Times(j.Need); len(when) < n; {
+				when = append(when, at)
 			}
-			if n := then.Times(j.Need); n > 0 {
-				gaps = append(gaps, gap{i, m.Free.Times(j.Need), n})
+		}
+		grow(0)
+		order := slices.Clone(m.Tasks)
+		slices.SortStableFunc(order, func(a, b Task) int { return cmp.Compare(a.left(p.now), b.left(p.now)) })
+		for k := range order {
+			if left := order[k].left(p.now); left <= late {
+				free = free.Add(order[k].Need, 1)
+				grow(left)
 			}
 		}
-		slices.SortFunc(gaps, func(a, b gap) int {
-			return cmp.Or(b.now-a.now, b.then-a.then, a.machine-b.machine)
-		})
-		n, room := 0, 0
-		for ; n < len(gaps) && room < j.Waiting; n++ {
-			room += gaps[n].then
+		if when != nil {
+			gaps[i], all = when, append(all, when...)
+			machines = append(machines, i)
 		}
-		if room >= j.Waiting && (best == nil || n < len(best)) {
-			best = gaps[:n]
+	}
+	if len(all) < j.Waiting {
+		return nil, 0
+	}
+	slices.Sort(all)
+	at = all[j.Waiting-1]
+	by := func(m int) (n int) {
+		for ; n < len(gaps[m]) && gaps[m][n] <= at; n++ {
 		}
+		return n
 	}
-	for _, g := range best {
-		p.machines[g.machine].Open = false
+	slices.SortStableFunc(machines, func(a, b int) int { return by(b) - by(a) })
+	n, room := 0, 0
+	for ; room < j.Waiting; n++ {
+		room += by(machines[n])
 	}
+	return machines[:n], at
 }
 
 // best returns the fitting machine that comes first, or -1. only, if not
