--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -211,6 +211,15 @@
 	whole  time.Time // when one of the machine was last passed on whole
 }
 
+// Share is the part of a node's changes, one in so many, that reports passed on may take,
+// and commands at the leader.
+//
+// It guards against a cut after the state service has lowered its limits: the reports of
+// one zone took 8 of 18 changes a second and the commands for it 6, so that ended jobs were
+// not recorded for 50 s, and the next leader returned ten machines for tasks that had long
+// gone (inc-b469).
+const Share = 4
+
 const (
 	writeEvery = 500 * time.Millisecond
 	active     = 8 * time.Second // lodging is over when no worker has come for so long
@@ -272,7 +281,9 @@
 		defer wg.Done()
 		l.receive(ctx)
 	}()
-	for pause.For(ctx, writeEvery) {
+	wait := writeEvery
+	for pause.For(ctx, wait) {
+		wait = writeEvery
 		if !l.lodging() {
 			l.forget()
 			continue
@@ -285,6 +296,7 @@
 		if len(ops) == 0 {
 			continue
 		}
+		wait = max(writeEvery, l.Store.Pace(len(ops), Share))
 		if _, err := l.Store.Txn(ctx, nil, ops, statestore.User); err != nil {
 			slog.Debug("reports not relayed", "err", err)
 			continue
