--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -186,7 +186,7 @@
 	if len(ops) == 0 {
 		return
 	}
-	s.writing, s.next = true, time.Now().Add(max(relayWritten, l.n.store.Pace(len(ops), relay.Share)))
+	s.writing, s.next = true, time.Now().Add(relayWritten)
 	fence := l.reign.Fence()
 	l.spawn(func() {
 		_, err := l.n.store.Txn(l.ctx, []statestore.Cond{fence}, ops, statestore.User)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -211,15 +211,6 @@
 	whole  time.Time // when one of the machine was last passed on whole
 }
 
-// Share is the part of a node's changes, one in so many, that reports passed on may take,
-// and commands at the leader.
-//
-// It guards against a cut after the state service has lowered its limits: the reports of
-// one zone took 8 of 18 changes a second and the commands for it 6, so that ended jobs were
-// not recorded for 50 s, and the next leader returned ten machines for tasks that had long
-// gone (inc-b469).
-const Share = 4
-
 const (
 	writeEvery = 500 * time.Millisecond
 	active     = 8 * time.Second // lodging is over when no worker has come for so long
@@ -281,9 +272,7 @@
 		defer wg.Done()
 		l.receive(ctx)
 	}()
-	wait := writeEvery
-	for pause.For(ctx, wait) {
-		wait = writeEvery
+	for pause.For(ctx, writeEvery) {
 		if !l.lodging() {
 			l.forget()
 			continue
@@ -296,7 +285,6 @@
 		if len(ops) == 0 {
 			continue
 		}
-		wait = max(writeEvery, l.Store.Pace(len(ops), Share))
 		if _, err := l.Store.Txn(ctx, nil, ops, statestore.User); err != nil {
 			slog.Debug("reports not relayed", "err", err)
 			continue
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -181,12 +181,6 @@
 // Writable tells how many changes the budget would take now.
 func (c *Client) Writable(u Urgency) int { return c.writes.left(u) }
 
-// Pace returns the time that n changes take where no more than one in share of this node's
-// rate goes to their like.
-func (c *Client) Pace(n, share int) time.Duration {
-	return time.Duration(float64(n*share) / float64(c.writes.Limit()) * float64(time.Second))
-}
-
 // Grant opens a lease.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
 	c.reqs.take(1, Lease)
