--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -32,6 +32,9 @@
 			m := p.best(j, -1)
 			if m < 0 {
 				p.out.Starved[i] = j.Waiting - n
+				if !j.Urgent {
+					p.hungry = append(p.hungry, j)
+				}
 				break
 			}
 			p.assign(i, j, m)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -142,6 +142,7 @@
 	full    map[kind]bool     // kinds of task that no machine has room for in this pass
 	victims map[kind][]victim // what making room for a task would cost, by machine
 	own     []bool            // machines whose tasks are this pass's own copy
+	hungry  []*Job            // that wait for a machine, stop nothing for it, and come before the rest
 }
 
 // kind is what decides which machines fit a task whose job has no tasks tied to
@@ -197,6 +198,9 @@
 		}
 		if p.teams[j.Team].room(j.Need) {
 			p.out.Starved[i] = left
+			if !j.Urgent {
+				p.hungry = append(p.hungry, j)
+			}
 		}
 		if j.Urgent || j.Displace {
 			p.preempt(i, j, left, -1, false)
@@ -605,7 +609,7 @@
 		best := -1
 		for k := range p.machines {
 			m := &p.machines[k]
-			if !m.Open || j.avoids(k) || !j.Allows(m) || only >= 0 && m.Zone != only || warm && p.rank(j, k) > 0 {
+			if !m.Open || j.avoids(k) || !j.Allows(m) || only >= 0 && m.Zone != only || warm && p.rank(j, k) > 0 || j.Urgent && p.promised(k) {
 				continue
 			}
 			v := &costs[k]
@@ -652,6 +656,20 @@
 	return made, lost
 }
 
+// promised tells whether others that come before would take what becomes free on a machine.
+//
+// It guards against tasks stopped in vain, again and again: a gang that was beyond its team's
+// guarantee stopped 52 tasks in a second, and arrays of its priority, within their teams',
+// took all of the room before the last of them was gone (inc-f015).
+func (p *planner) promised(machine int) bool {
+	for _, j := range p.hungry {
+		if j.Allows(&p.machines[machine]) && !j.avoids(machine) {
+			return true
+		}
+	}
+	return false
+}
+
 // costs returns what making room for a task would cost on each machine, as far as
 // it is known from tasks of the same kind earlier in this pass.
 func (p *planner) costs(j *Job, over Amounts) []victim {
