--- a/internal/controller/gang.go
+++ b/internal/controller/gang.go
@@ -120,12 +120,16 @@
 }
 
 // gangsToCome returns them for the placement, which keeps the room free: what is rented for
-// them arrays would take.
-func (l *lead) gangsToCome(now time.Time) (out []placement.Job) {
+// them arrays would take. They come behind all gangs that wait, also those beyond their
+// teams' guarantees, and before arrays.
+//
+// It guards against room that is kept from a gang that is there: one stopped 52 tasks in a
+// second, and each time the machines were kept for others before all of it was free (inc-f015).
+func (l *lead) gangsToCome(now time.Time, waiting []placement.Job) (out []placement.Job) {
+	beyond := slices.ContainsFunc(waiting, func(j placement.Job) bool { return j.Gang && j.Beyond })
 	for _, k := range l.gangsKept(now) {
 		s, st := k.spec, k.state
-		// Behind those that wait, before arrays.
-		out = append(out, placement.Job{Team: st.team, Priority: min(s.Rank(), job.Standard), Arrival: math.MaxUint64, Need: st.need, Waiting: s.Tasks,
+		out = append(out, placement.Job{Team: st.team, Priority: min(s.Rank(), job.Standard), Arrival: math.MaxUint64, Beyond: beyond, Need: st.need, Waiting: s.Tasks,
 			Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart, Gang: true, ToCome: true, Tasks: s.Tasks,
 			InZone: make([]int, len(l.zones))})
 	}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -205,7 +205,7 @@
 			jobs[i].Waiting = 0
 		}
 	}
-	plan := placement.Place(now, machines, append(jobs, l.gangsToCome(now)...), l.teams())
+	plan := placement.Place(now, machines, append(jobs, l.gangsToCome(now, jobs)...), l.teams())
 	next := make([]int, len(waiting))
 	tries := make([]uint64, len(waiting))
 	for _, a := range plan.Assign {
--- a/internal/controller/place_test.go
+++ b/internal/controller/place_test.go
@@ -5,9 +5,13 @@
 	"testing"
 	"time"
 
+	"tulipshelf/internal/cloud"
+	"tulipshelf/internal/config"
 	"tulipshelf/internal/fleet"
 	"tulipshelf/internal/job"
 	"tulipshelf/internal/ledger"
+	"tulipshelf/internal/placement"
+	"tulipshelf/internal/rental"
 	"tulipshelf/internal/wire"
 )
 
@@ -38,3 +42,24 @@
 		t.Errorf("%v, known %v", in, known)
 	}
 }
+
+// Room kept for gangs to come is not kept from one that waits, also if that is beyond its
+// team's guarantee.
+func TestGangBeforeGangsToCome(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &config.Settings{Objectives: []config.Objective{{Kind: config.KindWait, Class: "class", Within: 10 * time.Second}}}
+	l := &lead{n: &Node{settings: s}, zones: []string{"a"}, book: ledger.NewBook(), lastGangs: map[string]gangKind{},
+		types: []cloud.Type{{Name: "box", CPUs: 4, BootS: 50}}, gangs: rental.Offered{Memory: time.Minute}}
+	need := placement.Amounts{placement.CPU: 1}
+	l.lastGangs["class"] = gangKind{&job.Spec{Class: "class", Shape: job.Gang, Priority: "standard", Tasks: 4}, &jobState{zone: -1, need: need}}
+	l.gangs.Add(600, now)
+	for _, beyond := range []bool{false, true} {
+		waiting := []placement.Job{{Priority: job.Standard, Arrival: 1, Beyond: beyond, Need: need, Waiting: 4, Zone: -1, Gang: true, Tasks: 4, InZone: []int{0}}}
+		machines := []placement.Machine{{Open: true, Free: placement.Amounts{placement.CPU: 4}}}
+		toCome := l.gangsToCome(now, waiting)
+		plan := placement.Place(now, machines, append(waiting, toCome...), []placement.Team{{CPUsMax: 100}})
+		if len(toCome) == 0 || len(plan.Assign) != 4 {
+			t.Errorf("beyond %v: room kept for %d gangs to come, %d tasks placed", beyond, len(toCome), len(plan.Assign))
+		}
+	}
+}
