--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -142,6 +142,7 @@
 	full    map[kind]bool     // kinds of task that no machine has room for in this pass
 	victims map[kind][]victim // what making room for a task would cost, by machine
 	own     []bool            // machines whose tasks are this pass's own copy
+	ends    [][]ending        // of the tasks by machine; nil: not yet worked out
 	hungry  []*Job            // that wait for a machine, stop nothing for it, and come before the rest
 }
 
@@ -211,7 +212,7 @@
 
 func newPlanner(now time.Time, machines []Machine, teams []Team, jobs int) *planner {
 	return &planner{now: now, machines: machines, teams: teams, out: Plan{Starved: make([]int, jobs)},
-		full: map[kind]bool{}, victims: map[kind][]victim{}, own: make([]bool, len(machines))}
+		full: map[kind]bool{}, victims: map[kind][]victim{}, own: make([]bool, len(machines)), ends: make([][]ending, len(machines))}
 }
 
 // order returns the positions of the jobs in the order in which they are placed.
@@ -381,6 +382,11 @@
 	machines, teams, own, inZone, stops := slices.Clone(p.machines), slices.Clone(p.teams), p.own, slices.Clone(j.InZone), len(p.out.Stops)
 	p.own = make([]bool, len(own)) // tasks are copied before they change
 	return func() {
+		for i, changed := range p.own {
+			if changed {
+				p.ends[i] = nil
+			}
+		}
 		copy(p.machines, machines)
 		copy(p.teams, teams)
 		copy(j.InZone, inZone)
@@ -466,32 +472,34 @@
 	if j.Overdue {
 		late = math.MaxInt64 - 1
 	}
-	gaps := map[int][]time.Duration{} // by machine, when each will be there
+	type room struct {
+		machine int
+		gaps    []time.Duration // when each will be there
+		by      int             // those that will be there in time
+	}
+	var rooms []room
 	var all []time.Duration
 	for i := range p.machines {
 		m := &p.machines[i]
 		if !m.Open || !j.Allows(m) || j.avoids(i) || zone >= 0 && m.Zone != zone {
 			continue
 		}
-		var when []time.Duration
-		free := m.Free
+		r, free := room{machine: i}, m.Free
 		grow := func(at time.Duration) {
-			for n := free.Times(j.Need); len(when) < n; {
-				when = append(when, at)
+			for n := free.Times(j.Need); len(r.gaps) < n; {
+				r.gaps = append(r.gaps, at)
 			}
 		}
 		grow(0)
-		order := slices.Clone(m.Tasks)
-		slices.SortStableFunc(order, func(a, b Task) int { return cmp.Compare(a.left(p.now), b.left(p.now)) })
-		for k := range order {
-			if left := order[k].left(p.now); left <= late {
-				free = free.Add(order[k].Need, 1)
-				grow(left)
+		for _, e := range p.endings(i) {
+			if e.left > late {
+				break
 			}
+			free = free.Add(e.need, 1)
+			grow(e.left)
 		}
-		if when != nil {
-			gaps[i], all = when, append(all, when...)
-			machines = append(machines, i)
+		if r.gaps != nil {
+			rooms, all = append(rooms, r), append(all, r.gaps...)
 		}
 	}
 	if len(all) < j.Waiting {
@@ -499,17 +507,39 @@
 	}
 	slices.Sort(all)
 	at = all[j.Waiting-1]
-	by := func(m int) (n int) {
-		for ; n < len(gaps[m]) && gaps[m][n] <= at; n++ {
+	for i := range rooms {
+		r := &rooms[i]
+		for r.by < len(r.gaps) && r.gaps[r.by] <= at {
+			r.by++
 		}
-		return n
 	}
-	slices.SortStableFunc(machines, func(a, b int) int { return by(b) - by(a) })
-	n, room := 0, 0
-	for ; room < j.Waiting; n++ {
-		room += by(machines[n])
+	slices.SortStableFunc(rooms, func(a, b room) int { return b.by - a.by })
+	for n := 0; n < j.Waiting; {
+		r := &rooms[len(machines)]
+		n += r.by
+		machines = append(machines, r.machine)
+	}
+	return machines, at
+}
+
+// ending is the end of a task on a machine.
+type ending struct {
+	left time.Duration
+	need Amounts
+}
+
+// endings returns when the tasks on a machine end, in that order.
+func (p *planner) endings(machine int) []ending {
+	if p.ends[machine] == nil {
+		tasks := p.machines[machine].Tasks
+		out := make([]ending, len(tasks))
+		for i := range tasks {
+			out[i] = ending{tasks[i].left(p.now), tasks[i].Need}
+		}
+		slices.SortStableFunc(out, func(a, b ending) int { return cmp.Compare(a.left, b.left) })
+		p.ends[machine] = out
 	}
-	return machines[:n], at
+	return p.ends[machine]
 }
 
 // best returns the fitting machine that comes first, or -1. only, if not
@@ -631,6 +661,7 @@
 		if !p.own[best] {
 			m.Tasks, p.own[best] = slices.Clone(m.Tasks), true
 		}
+		p.ends[best] = nil
 		var freed Amounts
 		for _, v := range costs[best].stops {
 			t := &m.Tasks[v]
