--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -69,6 +69,23 @@
 	}
 }
 
+// A gang that would stop tasks in every zone and finds room in none leaves the pass as it was.
+func TestGangWithoutRoomChangesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for seed := range uint64(20) {
+		machines, jobs, teams := generate(rand.New(rand.NewPCG(7, seed)), now)
+		want := Place(now, machines, jobs, teams)
+		machines, jobs, teams = generate(rand.New(rand.NewPCG(7, seed)), now)
+		gang := Job{Team: len(teams), Priority: 4, Need: Amounts{CPU: 1, Memory: 3}, Waiting: 5000, Tasks: 5000, Zone: -1,
+			OneZone: true, Gang: true, Urgent: true, InZone: make([]int, 4)}
+		got := Place(now, machines, append(jobs, gang), append(teams, Team{CPUsMax: 1e6}))
+		if got.Starved[len(jobs)] != gang.Waiting || !slices.Equal(got.Starved[:len(jobs)], want.Starved) ||
+			!slices.Equal(got.Assign, want.Assign) || !slices.Equal(got.Stops, want.Stops) {
+			t.Fatalf("seed %d:\n got %v\nwant %v", seed, got, want)
+		}
+	}
+}
+
 func generate(r *rand.Rand, now time.Time) (machines []Machine, jobs []Job, teams []Team) {
 	for range 3 {
 		teams = append(teams, Team{CPUsMax: float64(100 + r.IntN(400))})
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -139,11 +139,11 @@
 	teams    []Team
 	out      Plan
 
-	full    map[kind]bool     // kinds of task that no machine has room for in this pass
-	victims map[kind][]victim // what making room for a task would cost, by machine
-	own     []bool            // machines whose tasks are this pass's own copy
-	ends    [][]ending        // of the tasks by machine; nil: not yet worked out
-	hungry  []*Job            // that wait for a machine, stop nothing for it, and come before the rest
+	full    map[kind]bool      // kinds of task that no machine has room for in this pass
+	victims map[claim][]victim // what making room for a task would cost, by machine
+	own     []bool             // machines whose tasks are this pass's own copy
+	ends    [][]ending         // of the tasks by machine; nil: not yet worked out
+	hungry  []*Job             // that wait for a machine, stop nothing for it, and come before the rest
 }
 
 // kind is what decides which machines fit a task whose job has no tasks tied to
@@ -153,8 +153,11 @@
 	types string
 	zone  int
 	spot  bool
+}
 
-	// For preemption, zero for fitting.
+// claim is what decides which tasks give way on a machine.
+type claim struct {
+	need             Amounts
 	priority         int
 	urgent, displace bool
 }
@@ -212,7 +215,7 @@
 
 func newPlanner(now time.Time, machines []Machine, teams []Team, jobs int) *planner {
 	return &planner{now: now, machines: machines, teams: teams, out: Plan{Starved: make([]int, jobs)},
-		full: map[kind]bool{}, victims: map[kind][]victim{}, own: make([]bool, len(machines)), ends: make([][]ending, len(machines))}
+		full: map[kind]bool{}, victims: map[claim][]victim{}, own: make([]bool, len(machines)), ends: make([][]ending, len(machines))}
 }
 
 // order returns the positions of the jobs in the order in which they are placed.
@@ -384,7 +387,7 @@
 	return func() {
 		for i, changed := range p.own {
 			if changed {
-				p.ends[i] = nil
+				p.forget(i)
 			}
 		}
 		copy(p.machines, machines)
@@ -626,6 +629,12 @@
 // room is made, and the run time that this loses.
 func (p *planner) preempt(i int, j *Job, n, only int, warm bool) (made int, lost float64) {
 	team := &p.teams[j.Team]
+	var open []int // machines on which tasks may be stopped
+	for k := range p.machines {
+		if p.machines[k].Open && !j.avoids(k) && (only < 0 || p.machines[k].Zone == only) && !(warm && p.rank(j, k) > 0) && !(j.Urgent && p.promised(k)) {
+			open = append(open, k)
+		}
+	}
 	for ; made < n; made++ {
 		over := team.over(j.Need)
 		costs := p.costs(j, over)
@@ -637,9 +646,9 @@
 			return cmp.Or(rank, cost)
 		}
 		best := -1
-		for k := range p.machines {
+		for _, k := range open {
 			m := &p.machines[k]
-			if !m.Open || j.avoids(k) || !j.Allows(m) || only >= 0 && m.Zone != only || warm && p.rank(j, k) > 0 || j.Urgent && p.promised(k) {
+			if !j.Allows(m) {
 				continue
 			}
 			v := &costs[k]
@@ -661,7 +670,6 @@
 		if !p.own[best] {
 			m.Tasks, p.own[best] = slices.Clone(m.Tasks), true
 		}
-		p.ends[best] = nil
 		var freed Amounts
 		for _, v := range costs[best].stops {
 			t := &m.Tasks[v]
@@ -673,9 +681,7 @@
 			p.teams[t.Team].stopped = p.teams[t.Team].stopped.Add(t.Need, 1)
 			t.Need = Amounts{} // promised to j
 		}
-		for _, costs := range p.victims {
-			costs[best].known = false
-		}
+		p.forget(best)
 		// What stops is still there and counts until it is gone: nobody gets any of
 		// it in this pass, not even what is more than j needs.
 		for r := range m.Free {
@@ -701,14 +707,21 @@
 	return false
 }
 
+// forget drops what was worked out from the tasks on a machine.
+func (p *planner) forget(machine int) {
+	p.ends[machine] = nil
+	for _, costs := range p.victims {
+		costs[machine].known = false
+	}
+}
+
 // costs returns what making room for a task would cost on each machine, as far as
-// it is known from tasks of the same kind earlier in this pass.
+// it is known from tasks with the same claim earlier in this pass.
 func (p *planner) costs(j *Job, over Amounts) []victim {
-	k, ok := j.kind()
-	if !ok || over != (Amounts{}) {
+	if over != (Amounts{}) {
 		return make([]victim, len(p.machines)) // depends on the team and its use
 	}
-	k.priority, k.urgent, k.displace = j.Priority, j.Urgent, j.Displace
+	k := claim{j.Need, j.Priority, j.Urgent, j.Displace}
 	if p.victims[k] == nil {
 		p.victims[k] = make([]victim, len(p.machines))
 	}
