--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -312,6 +312,12 @@
 	handOverTimes  = 2
 	handOverWithin = 3 * time.Second
 	handOverAfter  = 1500 * time.Millisecond
+
+	// For so long a leader stays that cannot have lost them: fewer have ever shown a token of
+	// its reign than come to the other node. It guards against leaders that hand over to
+	// each other for ever where machines are deaf: their reports go round the nodes, and it
+	// takes three of them to one leader to tell (TestAllMachinesDeaf).
+	handOverLost = time.Minute
 )
 
 // handOver ends this reign if another node hears far more machines than this one.
@@ -324,14 +330,17 @@
 	if now.Sub(l.started) < l.n.operator.Gather || !l.reign.Valid() {
 		return // workers still find their way here
 	}
-	heard := 0
+	heard, answered := 0, 0
 	l.fleet.Each(func(m *fleet.Machine) {
 		if m.Known && m.Via == "" && now.Sub(m.Heard) < l.n.settings.Workers.Report*3/2 {
 			heard++
 		}
+		if m.Known && m.Token >= l.firstTerm {
+			answered++
+		}
 	})
 	others := l.n.peers.StraysElsewhere(handOverWithin)
-	if others <= handOverTimes*max(heard, 1) {
+	if others <= handOverTimes*max(heard, 1) || answered < others && now.Sub(l.started) < handOverLost {
 		l.astray = time.Time{}
 		return
 	}
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -555,3 +555,24 @@
 		}
 	})
 }
+
+// All machines are deaf from one moment on: their reports go round the nodes, as no answer
+// comes back. They are found out and returned, and what ran there runs on others.
+func TestAllMachinesDeaf(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.runService(8)
+		deaf := c.cloud.Machines()
+		for _, w := range deaf {
+			w.Deafen(true)
+		}
+		c.until("the service runs on other machines", 3*time.Minute, func() bool {
+			for _, w := range deaf {
+				if w.Has("wk-000001") {
+					return false
+				}
+			}
+			return c.referee.OnOf("wk-000001") == 8
+		})
+	})
+}
