--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -184,13 +184,16 @@
 	c.limit = limit
 }
 
-// large starts the controllers anew with room for 24 machines.
-func (c *cluster) large() {
-	c.offer(24, 96)
+// anew starts the controllers anew with so many machines to be had and such a limit.
+func (c *cluster) anew(machines int, limit float64) {
+	c.offer(machines, limit)
 	c.restartAll()
 	time.Sleep(2 * time.Second)
 }
 
+// large starts the controllers anew with room for 24 machines.
+func (c *cluster) large() { c.anew(24, 96) }
+
 // restartAll ends all controllers, one after the other, and starts them anew.
 func (c *cluster) restartAll() {
 	for i := range 3 {
@@ -728,9 +731,7 @@
 // larger tasks would then be entitled.
 func TestSmallTasksRentLittle(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.offer(60, 1000)
-		c.restartAll()
-		time.Sleep(2 * time.Second)
+		c.anew(60, 1000)
 		tiny := submission("wk-000002", job.Array, 800, 20)
 		tiny["cpus"], tiny["ram_gb"] = 0.25, 0.5
 		c.submit(0, submission("wk-000001", job.Array, 150, 20))
--- a/internal/controller/gang_test.go
+++ b/internal/controller/gang_test.go
@@ -227,9 +227,7 @@
 // A service that needs the room of a gang stops all of it in order, not one task.
 func TestGangMakesRoom(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.offer(4, 96)
-		c.restartAll()
-		time.Sleep(2 * time.Second)
+		c.anew(4, 96)
 		m := gang(16, 60)
 		m["rank"] = "best_effort"
 		c.runGang(m)
@@ -338,9 +336,7 @@
 // all the same, and room is not kept free for it for long.
 func TestGangNotStarved(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.offer(6, 96)
-		c.restartAll()
-		time.Sleep(2 * time.Second)
+		c.anew(6, 96)
 		var stop atomic.Bool
 		ended := make(chan struct{})
 		go func() {
@@ -366,9 +362,7 @@
 // Two gangs that fit only one after the other never hold a part each.
 func TestTwoGangs(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.offer(6, 96)
-		c.restartAll()
-		time.Sleep(2 * time.Second)
+		c.anew(6, 96)
 		ids := []string{"wk-000501", "wk-000502", "wk-000503"}
 		for i, id := range ids {
 			m := gang(14, 15)
@@ -400,9 +394,7 @@
 // machines are full of what came before.
 func TestRoomForGangsKeepsNoJobWaiting(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.offer(6, 96)
-		c.restartAll()
-		time.Sleep(2 * time.Second)
+		c.anew(6, 96)
 		c.runGang(gang(16, 60)) // one as large may come again
 		for i := 1; i <= 3; i++ {
 			c.accept(10*time.Second, i%3, submission(jobID(i), job.Array, 8, 600))
@@ -421,9 +413,7 @@
 // begins long before they would have ended.
 func TestGangPreempts(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.offer(6, 96)
-		c.restartAll()
-		time.Sleep(2 * time.Second)
+		c.anew(6, 96)
 		c.accept(10*time.Second, 0, submission("wk-000002", job.Array, 24, 60))
 		c.until("machines are full", time.Minute, func() bool { return c.referee.On() == 24 })
 		time.Sleep(5 * time.Second)
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -226,9 +226,7 @@
 func TestLargeArrayOfShortTasks(t *testing.T) {
 	simulate(t, func(c *cluster) {
 		const tasks = 6000
-		c.offer(24, 96)
-		c.restartAll()
-		time.Sleep(2 * time.Second)
+		c.large()
 		large := submission("wk-000001", job.Array, tasks, 4)
 		large["cpus"], large["ram_gb"], large["rank"] = 0.25, 0.5, "best_effort"
 		before := c.store.Changes()
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -511,10 +511,8 @@
 func TestTwoThousandMachines(t *testing.T) {
 	const machines = 2000
 	simulate(t, func(c *cluster) {
-		c.offer(machines, 1e6)
 		c.rps = 800
-		c.restartAll()
-		time.Sleep(2 * time.Second)
+		c.anew(machines, 1e6)
 		id := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
 		const arrays, services = 24, 150
 		for i := range arrays {
