--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -31,7 +31,9 @@
 	store   *standin.Store
 	cloud   *standin.Cloud
 	referee *standin.Referee
-	nodes   []*Node
+	nodes   []*Node         // nil: the controller runs an older version
+	older   [3]olderVersion // that a controller runs when it is started; nil: this version
+	leads   []func() bool   // whether a controller leads
 	stops   []context.CancelFunc
 	ended   []chan struct{}
 	client  atomic.Int64
@@ -42,6 +44,9 @@
 	told    told
 }
 
+// olderVersion returns a controller of an older version, and what tells whether it leads.
+type olderVersion func(*config.Settings, *standin.Net) (run func(context.Context) error, leads func() bool)
+
 // told keeps what users were told of each job.
 type told struct {
 	mu      sync.Mutex
@@ -104,6 +109,12 @@
 // simulate runs f with a cluster inside a bubble of simulated time and checks
 // at the end that no rule was broken.
 func simulate(t *testing.T, f func(*cluster)) {
+	t.Helper()
+	simulateFrom(t, nil, f)
+}
+
+// simulateFrom does the same with controllers that all run an older version at first.
+func simulateFrom(t *testing.T, older olderVersion, f func(*cluster)) {
 	t.Helper()
 	slog.SetDefault(slog.New(slog.DiscardHandler))
 	synctest.Test(t, func(t *testing.T) {
@@ -120,7 +131,9 @@
 		go c.net.Serve(ctx, stateAddr, c.store.Handle)
 		go c.net.Serve(ctx, cloudAddr, c.cloud.Handle)
 		for i := range 3 {
-			c.nodes, c.stops, c.ended = append(c.nodes, nil), append(c.stops, nil), append(c.ended, nil)
+			c.nodes, c.leads = append(c.nodes, nil), append(c.leads, nil)
+			c.stops, c.ended = append(c.stops, nil), append(c.ended, nil)
+			c.older[i] = older
 			c.start(i)
 		}
 		defer func() {
@@ -157,16 +170,24 @@
 			s.Peers = append(s.Peers, config.Peer{Node: nodeName(k), Zone: c.zones[k%len(c.zones)], Addr: peerAddr(k)})
 		}
 	}
+	var run func(context.Context) error
+	if older := c.older[i]; older != nil {
+		c.nodes[i] = nil
+		run, c.leads[i] = older(s, c.net)
+	} else {
+		n := New(s, config.DefaultOperator(), Network{Dial: c.net.Dial(nodeAddr(i)),
+			Listen: func(ctx context.Context, ws *wire.Server) error {
+				c.net.Serve(ctx, ws.Addr, ws.Handler)
+				return nil
+			}})
+		c.nodes[i], run = n, n.Run
+		c.leads[i] = func() bool { return n.lead.Load() != nil }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := New(s, config.DefaultOperator(), Network{Dial: c.net.Dial(nodeAddr(i)),
-		Listen: func(ctx context.Context, ws *wire.Server) error {
-			c.net.Serve(ctx, ws.Addr, ws.Handler)
-			return nil
-		}})
-	c.nodes[i], c.stops[i], c.ended[i] = n, cancel, make(chan struct{})
+	c.stops[i], c.ended[i] = cancel, make(chan struct{})
 	go func(ended chan struct{}) {
 		defer close(ended)
-		if err := n.Run(ctx); err != nil {
+		if err := run(ctx); err != nil {
 			c.t.Error(err)
 		}
 	}(c.ended[i])
@@ -223,8 +244,10 @@
 
 // cutZone cuts all workers and one other node off from the leader; the state
 // service, the cloud and users belong to the region and reach everybody.
-func (c *cluster) cutZone() {
-	other := (c.leader() + 1) % 3
+func (c *cluster) cutZone() { c.cutZoneOf((c.leader() + 1) % 3) }
+
+// cutZoneOf does the same with a given node on the workers' side.
+func (c *cluster) cutZoneOf(other int) {
 	inside := func(addr string) bool {
 		return strings.HasPrefix(addr, "10.1.") || addr == nodeAddr(other) || addr == peerAddr(other)
 	}
@@ -235,12 +258,7 @@
 }
 
 func (c *cluster) leader() int {
-	for i, n := range c.nodes {
-		if n.lead.Load() != nil {
-			return i
-		}
-	}
-	return -1
+	return slices.IndexFunc(c.leads, func(leads func() bool) bool { return leads() })
 }
 
 // ask sends a user's request. No answer about a job may be older than one that was there
@@ -270,6 +288,9 @@
 	return resp
 }
 
+// serves tells whether a controller takes requests.
+func (c *cluster) serves(i int) bool { return c.ask(i, "GET", "/ready", nil).Status == 200 }
+
 // abort cancels a job.
 func (c *cluster) abort(node int, id string) {
 	c.t.Helper()
@@ -288,7 +309,12 @@
 		return !worker && (from == nodeAddr(old) || to == nodeAddr(old) || to == peerAddr(old))
 	})
 	c.until("another leader", 10*time.Second, func() bool {
-		return slices.ContainsFunc(c.nodes, func(n *Node) bool { return n != c.nodes[old] && n.lead.Load() != nil })
+		for i, leads := range c.leads {
+			if i != old && leads() {
+				return true
+			}
+		}
+		return false
 	})
 	return old
 }
--- a/internal/controller/upgrade_test.go
+++ b/internal/controller/upgrade_test.go
@@ -1,8 +1,7 @@
 package controller
 
-// Controllers are replaced one at a time, so this version and the one in production read
-// what the other has written; and the state service's limits are lowered at a moment that
-// nobody announces.
+// Controllers are replaced one at a time, so this version and older ones read what the others
+// have written; and the state service's limits are lowered at a moment that nobody announces.
 
 import (
 	"bufio"
@@ -10,6 +9,8 @@
 	"encoding/hex"
 	"fmt"
 	"os"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,14 +23,18 @@
 	"tulipshelf/internal/ledger"
 	"tulipshelf/internal/peer"
 	"tulipshelf/internal/relay"
+	"tulipshelf/internal/standin"
 	"tulipshelf/internal/statestore"
 	"tulipshelf/internal/wire"
 )
 
-// production returns what the version in production has written, by key.
-func production(t *testing.T) map[string][]byte {
+// fixtures are what older versions have written.
+var fixtures = []string{"production", "previous"}
+
+// keptBy returns what an older version has written, by key.
+func keptBy(t *testing.T, version string) map[string][]byte {
 	t.Helper()
-	f, err := os.Open("testdata/production.txt")
+	f, err := os.Open("testdata/" + version + ".txt")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -73,59 +78,74 @@
 	}
 }
 
-// What production has written is taken over: what is over stays so, what is done is not
+// What an older version has written is taken over: what is over stays so, what is done is not
 // done again, what was cancelled is, and what runs no more runs again; also while the
 // controllers are replaced one at a time, one of them ending twice.
-func TestTakesOverFromProduction(t *testing.T) {
-	for name, roll := range map[string]bool{"at once": false, "replaced one at a time": true} {
-		t.Run(name, func(t *testing.T) {
-			simulate(t, func(c *cluster) {
-				kept := production(t)
-				c.begin(kept)
-				if roll {
-					for i := range 3 {
-						time.Sleep(6 * time.Second)
-						c.kill(i)
-						time.Sleep(time.Second)
-						c.start(i)
-						if i == 1 {
-							time.Sleep(300 * time.Millisecond)
+func TestTakesOver(t *testing.T) {
+	for _, version := range fixtures {
+		for name, roll := range map[string]bool{"at once": false, "replaced one at a time": true} {
+			t.Run(version+", "+name, func(t *testing.T) {
+				simulate(t, func(c *cluster) {
+					kept := keptBy(c.t, version)
+					c.begin(kept)
+					if roll {
+						for i := range 3 {
+							time.Sleep(6 * time.Second)
 							c.kill(i)
+							time.Sleep(time.Second)
 							c.start(i)
+							if i == 1 {
+								time.Sleep(300 * time.Millisecond)
+								c.kill(i)
+								c.start(i)
+							}
 						}
 					}
-				}
-				c.over(2*time.Minute, map[string]string{"wk-000002": ledger.Done, "wk-000003": ledger.Cancelled,
-					"wk-000004": ledger.Done, "wk-000005": ledger.Cancelled})
-				c.until("the service runs", time.Minute, func() bool { return c.referee.OnOf("wk-000001") == 6 })
-				mistaken := 0
-				for task, n := range c.referee.Begun() {
-					id, k, _ := strings.Cut(task, "/")
-					switch {
-					case id == "wk-000006":
-						mistaken += n
-					case id == "wk-000005" || id == "wk-000004" && len(k) < 3 && k != "":
-						t.Errorf("%s was started", task)
+					c.over(2*time.Minute, map[string]string{"wk-000002": ledger.Done, "wk-000003": ledger.Cancelled,
+						"wk-000004": ledger.Done, "wk-000005": ledger.Cancelled})
+					c.until("the service runs", time.Minute, func() bool { return c.referee.OnOf("wk-000001") == 6 })
+					if kept[ledger.JobKey(gangID)] != nil {
+						c.until("the gang runs again, whole", time.Minute, func() bool { return c.cloud.Gangs.Counted().Began == 1 })
+						c.accept(time.Second, 0, gang(4, 600))
 					}
-				}
-				if mistaken > 30 {
-					t.Errorf("a job known to fail everywhere was started %d times", mistaken)
-				}
-				if s := c.status(1, "wk-000006"); s != "pending" && s != "running" {
-					t.Errorf("a job that fails is %s", s)
-				}
+					mistaken := 0
+					for task, n := range c.referee.Begun() {
+						id, k, _ := strings.Cut(task, "/")
+						switch {
+						case id == "wk-000006":
+							mistaken += n
+						case id == "wk-000005" || id == "wk-000004" && len(k) < 3 && k != "":
+							t.Errorf("%s was started", task)
+						}
+					}
+					if mistaken > 30 {
+						t.Errorf("a job known to fail everywhere was started %d times", mistaken)
+					}
+					if s := c.status(1, "wk-000006"); s != "pending" && s != "running" {
+						t.Errorf("a job that fails is %s", s)
+					}
+				})
 			})
-		})
+		}
 	}
 }
 
-// A beat of production is understood, and of this version's beat production reads all that
-// it knows: nothing of that has changed its number or form.
+// A beat of an older version is understood, and of this version's beat older ones read all that
+// they know: nothing of that has changed its number or form.
 func TestBeatBothWays(t *testing.T) {
-	var b peer.Beat
-	if err := proto.Unmarshal(production(t)["beat"], &b); err != nil || b.Node != "shelf-1" || b.Term != 1 || b.Leader != "shelf-1" ||
-		len(b.Cancelled) != 1 || b.Cancelled[0] != "wk-000005" || !b.Served || b.MemoryMs == 0 || b.KnownMs == 0 || b.Gangs {
-		t.Errorf("%v, %v", &b, err)
+	for version, want := range map[string]*peer.Beat{
+		"production": {Node: "shelf-1", Term: 1, Leader: "shelf-1", Cancelled: []string{"wk-000005"}},
+		"previous":   {Node: "shelf-1", Term: 2, Leader: "shelf-0", Cancelled: []string{"wk-000003", "wk-000005"}, Gangs: true},
+	} {
+		var b peer.Beat
+		if err := proto.Unmarshal(keptBy(t, version)["beat"], &b); err != nil {
+			t.Fatal(version, err)
+		}
+		slices.Sort(b.Cancelled)
+		if b.Node != want.Node || b.Term != want.Term || b.Leader != want.Leader || !slices.Equal(b.Cancelled, want.Cancelled) ||
+			!b.Served || b.MemoryMs == 0 || b.KnownMs == 0 || b.Gangs != want.Gangs {
+			t.Errorf("%s: %v", version, &b)
+		}
 	}
 	now, err := proto.Marshal(&peer.Beat{Node: "shelf-1", Term: 7, Leader: "shelf-2", Strays: 3, Cancelled: []string{"wk-000001"},
 		Served: true, MemoryMs: 5, KnownMs: 6, Gone: []*peer.Attempt{{Task: "wk-000001/0", Try: 9}}, Gangs: true})
@@ -138,18 +158,119 @@
 		if k < 0 {
 			t.Fatal(protowire.ParseError(k))
 		}
-		if n <= 9 {
+		if n <= 10 {
 			forms[n] = form
 		}
 		now = now[k:]
 	}
 	text, number := protowire.BytesType, protowire.VarintType
-	want := map[protowire.Number]protowire.Type{1: text, 2: number, 3: text, 4: number, 5: text, 6: number, 7: number, 8: number, 9: text}
+	want := map[protowire.Number]protowire.Type{1: text, 2: number, 3: text, 4: number, 5: text, 6: number, 7: number, 8: number, 9: text, 10: number}
 	if fmt.Sprint(forms) != fmt.Sprint(want) {
 		t.Errorf("%v, want %v", forms, want)
 	}
 }
 
+// bringAbout brings about the state that testdata/previous.txt tells of.
+func (c *cluster) bringAbout() {
+	c.t.Helper()
+	c.until("leader", 10*time.Second, func() bool { return c.leader() >= 0 })
+	c.large()
+	c.until("all serve", 10*time.Second, func() bool { return c.serves(0) && c.serves(1) && c.serves(2) })
+	c.runService(6)
+	mistaken := submission("wk-000006", job.Array, 20, 5)
+	mistaken["lane"] = standin.Mistaken
+	c.accept(5*time.Second, 0, mistaken)
+	c.accept(5*time.Second, 0, submission("wk-000002", job.Array, 3, 2))
+	c.until("done", time.Minute, c.done("wk-000002"))
+	c.accept(5*time.Second, 0, submission("wk-000003", job.Array, 2, 60))
+	c.until("runs", time.Minute, func() bool { return c.referee.OnOf("wk-000003") == 2 })
+	c.abort(1, "wk-000003")
+	c.until("over", time.Minute, func() bool { return len(c.store.Keys("end/wk-000003")) == 1 })
+	c.accept(5*time.Second, 0, submission("wk-000005", job.Service, 4, 0))
+	c.until("runs", time.Minute, func() bool { return c.referee.OnOf("wk-000005") == 4 })
+	c.runGang(gang(4, 600))
+	c.accept(5*time.Second, 0, submission("wk-000004", job.Array, 300, 10))
+	c.until("some done", 2*time.Minute, func() bool { return c.referee.Ended("wk-000004/120") })
+	c.cutZone()
+	time.Sleep(16 * time.Second)
+	for _, w := range c.cloud.Machines() {
+		if w.Has("wk-000005") {
+			w.Hang(true)
+		}
+	}
+	c.abort(c.leader(), "wk-000005")
+	time.Sleep(2 * time.Second)
+}
+
+var numbers = regexp.MustCompile("[0-9]+")
+
+// keyForm returns a key without the numbers of jobs, controllers and parts.
+func keyForm(key string) string { return numbers.ReplaceAllString(key, "#") }
+
+// fieldsOf adds the names of all fields in a value, with where they stand in it.
+func fieldsOf(value any, at string, into map[string]bool) {
+	switch v := value.(type) {
+	case map[any]any:
+		for name, inner := range v {
+			path := at + "." + numbers.ReplaceAllString(fmt.Sprint(name), "#")
+			into[path] = true
+			fieldsOf(inner, path, into)
+		}
+	case []any:
+		for _, inner := range v {
+			fieldsOf(inner, at+"[]", into)
+		}
+	}
+}
+
+// storedFields returns the fields of all values, by the form of their keys.
+func storedFields(t *testing.T, kept map[string][]byte) map[string]bool {
+	t.Helper()
+	fields := map[string]bool{}
+	for key, value := range kept {
+		if key == "beat" {
+			continue // protobuf: TestBeatBothWays
+		}
+		var decoded any
+		if err := wire.Unmarshal(value, &decoded); err != nil {
+			t.Fatal(key, err)
+		}
+		form := numbers.ReplaceAllString(key, "#")
+		fields[form] = true
+		fieldsOf(decoded, form, fields)
+	}
+	return fields
+}
+
+// Every key and every field that an older version stores is stored by this one, under the same
+// name, in the same state of affairs.
+func TestStoresWhatOlderVersionsDo(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.bringAbout()
+		store := statestore.New(c.net.Dial("reader"), stateAddr, 1e6, 1e6)
+		page, err := store.List(context.Background(), "", "", 1000, statestore.Lease)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		now := map[string][]byte{}
+		for _, item := range page.Items {
+			now[item.Key] = item.Value
+		}
+		stored := storedFields(c.t, now)
+		for _, version := range fixtures {
+			for field := range storedFields(c.t, keptBy(c.t, version)) {
+				if !stored[field] {
+					c.t.Errorf("%s stores %s", version, field)
+				}
+			}
+		}
+		for _, w := range c.cloud.Machines() {
+			w.Hang(false)
+		}
+		c.net.Cut(nil)
+	})
+}
+
 // What production reads of a job, of a chunk of its tasks, of its end, and of the rest.
 type (
 	oldRecord struct {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -684,3 +684,16 @@
 		t.Errorf("left: %v", slices.Sorted(maps.Keys(s.keys)))
 	}
 }
+
+// The names under which a job's record is stored: older versions read them.
+func TestRecordFields(t *testing.T) {
+	var fields map[string]any
+	full := Record{Spec: &job.Spec{}, AtMS: 1, Arrival: 2, CancelledMS: 3, Chunk: 4, Base: 5, Was: 6}
+	if err := wire.Unmarshal(wire.Marshal(full), &fields); err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"arrival", "at_ms", "base", "cancelled_ms", "chunk", "spec", "was"}
+	if got := slices.Sorted(maps.Keys(fields)); !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/tools/testdata/undocumented/undocumented.go
@@ -0,0 +1,3 @@
+package undocumented
+
+func Exported() {}
