Delete the chunks of a job whose end was recorded by an unanswered transaction

A leader that learns of the end by a conflict or by the watch did not know which chunks the transaction had deleted, and left all. Excluded: chunks skipped as too large (none refused), deletions refused and not tried again. Now it deletes what it knows of.

--- a/internal/controller/cancelled.go
+++ b/internal/controller/cancelled.go
@@ -120,6 +120,14 @@
 	}
 }
 
+// proven tells whether an attempt of a cancelled job has been shown to be gone.
+func (g *guard) proven(task string, try uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, ok := g.gone[attempt{task, try}]
+	return ok
+}
+
 // heed learns from a report what is gone, by the same proofs as a leader.
 func (g *guard) heed(r *fleet.Report) {
 	g.prove(r.Machine, func(p ledger.Place) bool { return r.Proves(p.Task, p.Try, p.Session) })
--- a/internal/controller/cancelled_test.go
+++ b/internal/controller/cancelled_test.go
@@ -252,3 +252,30 @@
 		c.abort(at, "wk-000001")
 	})
 }
+
+// A new leader knows from the other controllers which tasks of cancelled jobs are gone,
+// though their ends could not be recorded, and returns no machine for them.
+func TestNewLeaderKnowsWhatIsGone(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.large()
+		c.runService(8)
+		c.accept(5*time.Second, 0, submission("wk-000002", job.Service, 8, 0))
+		c.until("both run", time.Minute, func() bool { return c.referee.On() == 16 })
+		c.store.HoldBack(10_000, ledger.EndKey(""))
+		c.abort(1, "wk-000002")
+		c.until("cancelled tasks gone", 10*time.Second, func() bool { return c.referee.On() == 8 })
+		time.Sleep(45 * time.Second)
+		c.mute(isWorker)
+		time.Sleep(time.Second)
+		idle := c.cloud.Returned()
+		c.nextLeader()
+		time.Sleep(5 * time.Second) // what is silent is given up later
+		if gone := c.cloud.Returned(); len(gone) > len(idle) {
+			t.Errorf("returned %v, and before that %v", gone[len(idle):], idle)
+		}
+		c.net.Cut(nil)
+		c.store.HoldBack(0, "")
+		c.over(20*time.Second, map[string]string{"wk-000002": ledger.Cancelled})
+		c.until("the end is recorded", 20*time.Second, func() bool { return len(c.store.Keys(ledger.EndKey("wk-000002"))) == 1 })
+	})
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -420,26 +420,32 @@
 }
 
 // sweep stops what is left of a cancelled job: starts that were never sent are
-// taken back, the others are halted.
+// taken back, the others are halted. What this node has learnt to be gone, by itself or from
+// the others, is so whoever led when it was reported.
+//
+// The latter guards against machines returned by a new leader for tasks that had long gone,
+// where the ends of their jobs could not be recorded in time (inc-b469).
 func (l *lead) sweep(j *ledger.Job, now time.Time) {
 	if !l.writing {
 		for _, a := range l.book.DropUnrecorded(j, now) {
 			l.machine(a.Machine, now).Release(a)
 		}
 	}
-	var unsent []*ledger.Attempt
+	var gone []*ledger.Attempt
 	j.Attempts(func(a *ledger.Attempt) {
 		m := l.machine(a.Machine, now)
 		h := m.HoldOf(a)
 		switch {
 		case h == nil || !a.Recorded:
+		case j.Cancelled && l.n.guard.proven(a.Name(), a.Try):
+			gone = append(gone, a)
 		case h.Sent.IsZero() && ledger.TryTerm(a.Try) >= l.firstTerm:
-			unsent = append(unsent, a) // recorded by this leader and never sent
+			gone = append(gone, a) // recorded by this leader and never sent
 		default:
 			m.Stop(h, 0)
 		}
 	})
-	for _, a := range unsent {
+	for _, a := range gone {
 		l.machine(a.Machine, now).Release(a)
 		l.book.End(a, false, now)
 	}
--- /dev/null
+++ b/internal/controller/limits_test.go
@@ -0,0 +1,87 @@
+package controller
+
+// The state service lowers its limits at a moment that nobody announces.
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tulipshelf/internal/config"
+	"tulipshelf/internal/job"
+	"tulipshelf/internal/ledger"
+)
+
+// lowered are the limits to come, of a small state service.
+var lowered = &config.State{RPS: 80, WriteRPS: 18, ValueBytes: 2 << 10, TxnOps: 4}
+
+// The limits are lowered while large arrays and a large gang run and many cancellations wait to
+// be recorded as ended; alone, in the middle of an election, and with answers lost: every job
+// ends as it should, none of their tasks is started again once done, and nothing is left behind.
+func TestLimitsLoweredUnderLoad(t *testing.T) {
+	const cancelled = 24
+	moments := map[string]func(c *cluster){
+		"alone": func(*cluster) {},
+		"in an election": func(c *cluster) {
+			old := c.leader()
+			c.kill(old)
+			time.Sleep(1500 * time.Millisecond)
+			c.start(old)
+		},
+		"with answers lost": func(c *cluster) { c.store.LoseOneIn(4) },
+	}
+	for name, moment := range moments {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(c *cluster) {
+				c.next = lowered
+				c.anew(60, 240)
+				c.runService(8)
+				want := map[string]string{"wk-000100": ledger.Done, "wk-000101": ledger.Done, gangID: ledger.Done}
+				c.accept(10*time.Second, 0, submission("wk-000100", job.Array, 600, 10))
+				c.accept(10*time.Second, 1, submission("wk-000101", job.Array, 300, 20))
+				c.accept(10*time.Second, 2, gang(80, 60)) // more than one chunk of 2 KiB
+				for i := range cancelled {
+					c.accept(20*time.Second, i%3, submission(jobID(200+i), job.Array, 2, 300))
+				}
+				c.until("all have begun", 3*time.Minute, func() bool {
+					for i := range cancelled {
+						if c.referee.OnOf(jobID(200+i)) == 0 {
+							return false
+						}
+					}
+					return c.referee.OnOf(gangID) == 80
+				})
+				for i := range cancelled {
+					id := jobID(200 + i)
+					c.until("cancelled", 10*time.Second, func() bool { return c.ask(i%3, "POST", "/v1/jobs/"+id+"/abort", nil).Status == 200 })
+					want[id] = ledger.Cancelled
+				}
+				if n := len(c.store.Keys(ledger.EndKey("wk-0002"))); n == cancelled {
+					t.Error("no cancellation waits to be recorded as ended")
+				}
+				c.store.Limit(lowered.ValueBytes, lowered.TxnOps, lowered.WriteRPS)
+				moment(c)
+				c.over(8*time.Minute, want)
+				c.store.LoseOneIn(0)
+				c.until("all ends are recorded", 2*time.Minute, func() bool { return len(c.store.Keys(ledger.EndKey("wk-0002"))) == cancelled })
+				for range 600 {
+					if len(c.store.Keys(ledger.JobPrefix)) == 2 {
+						break
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				if left := c.store.Keys(ledger.JobPrefix); len(left) != 2 { // the service and its tasks
+					t.Errorf("left behind: %v", left)
+				}
+				if large, many := c.store.Refused(); large > 0 || many == 0 {
+					t.Errorf("%d transactions refused as too large, %d as too many", large, many)
+				}
+				for i := range 600 {
+					if n := c.referee.Begun()[fmt.Sprintf("wk-000100/%d", i)]; n != 1 {
+						t.Errorf("wk-000100/%d was started %d times", i, n)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -243,10 +243,7 @@
 		for _, n := range w.gone {
 			delete(w.j.chunks, n)
 		}
-		for n := range w.j.chunks {
-			w.j.orphans = append(w.j.orphans, w.j.record.Base+n)
-		}
-		w.j.orphans = append(w.j.orphans, w.j.old...)
+		w.j.leaveChunks()
 		if j := b.drop(w.j.Spec.ID); j != nil && j != w.j {
 			ended = append(ended, j)
 		}
@@ -278,14 +275,28 @@
 }
 
 // Gone drops a job whose record is found deleted, here or by the watch: its end
-// was recorded.
+// was recorded, by a transaction that had no answer. Whether that deleted all of the job's
+// chunks is not known, so their deletion is left to OrphanOps; otherwise they stayed until
+// another leader read the records (TestLimitsLoweredUnderLoad).
 func (b *Book) Gone(id string, byWatch bool) *Job {
 	if byWatch {
 		delete(b.ended, id)
 	} else {
 		b.ended[id] = struct{}{}
 	}
-	return b.drop(id)
+	j := b.drop(id)
+	if j != nil {
+		j.leaveChunks()
+	}
+	return j
+}
+
+// leaveChunks leaves what is stored of a job's chunks for deletion.
+func (j *Job) leaveChunks() {
+	for n := range j.chunks {
+		j.orphans = append(j.orphans, j.record.Base+n)
+	}
+	j.orphans = append(j.orphans, j.old...)
 }
 
 // drop takes the job that stands under an ID out of the book and returns it. It need
