Bound nothing by fewer than 6,000 machines, and let the leader's work grow with them

Found by going through all that is counted, sized or paced, and mended, each with a test: - beats of more than 64 KiB (4,096 cancelled jobs and 1,000 attempts come to 74) were refused, so that every node took every other for dead: TestLargestBeat; - a node that had fallen behind by more than 4 MiB of changes asked for the same again until they were older than 10,000 changes: TestFallsBehind, which fails without; - names of machines seen were emptied at 4,096: TestSightings. Two lists share one type now; - 512 events for the loop whatever the connections; lists of the cloud that used up its rate at thousands of machines; workers' connections refused where others held all: they are closed after each answer from 0.95 of them on (TestClosedWhenCrowded); - the loop looked through all machines after each report; now at most every 10 ms.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -84,6 +84,16 @@
 // Ready tells how many requests would be sent without waiting, at least one.
 func (c *Client) Ready() int { return max(1, int(c.limit.Tokens())) }
 
+// listShare is the part of the rate that may go into lists.
+const listShare = 0.4
+
+// ListEvery returns how far apart lists of so many machines have to be for most of the rate to
+// be left to rentals and returns: a list of 6,000 takes 12 requests.
+func (c *Client) ListEvery(machines int) time.Duration {
+	pages := machines/maxList + 1
+	return time.Duration(float64(pages) / (listShare * float64(c.limit.Limit())) * float64(time.Second))
+}
+
 // Catalog returns the machine types with their current prices.
 func (c *Client) Catalog(ctx context.Context) ([]Type, error) {
 	var out struct {
--- a/internal/controller/cancelled.go
+++ b/internal/controller/cancelled.go
@@ -76,9 +76,6 @@
 	try  uint64
 }
 
-// maxGone bounds what one beat says of attempts.
-const maxGone = 1000
-
 // look takes all that is recorded of cancelled jobs.
 func (g *guard) look(places []ledger.Place) {
 	g.mu.Lock()
@@ -140,14 +137,12 @@
 	}
 }
 
-// known returns what is known to be gone, for the other controllers.
+// known returns what is known to be gone, for the other controllers; a beat takes what fits.
 func (g *guard) known() (out []*peer.Attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for a := range g.gone {
-		if len(out) < maxGone {
-			out = append(out, &peer.Attempt{Task: a.task, Try: a.try})
-		}
+		out = append(out, &peer.Attempt{Task: a.task, Try: a.try})
 	}
 	return out
 }
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -20,6 +20,7 @@
 	"tulipshelf/internal/leadership"
 	"tulipshelf/internal/ledger"
 	"tulipshelf/internal/standin"
+	"tulipshelf/internal/statestore"
 	"tulipshelf/internal/wire"
 )
 
@@ -291,6 +292,29 @@
 // serves tells whether a controller takes requests.
 func (c *cluster) serves(i int) bool { return c.ask(i, "GET", "/ready", nil).Status == 200 }
 
+// term returns the highest term given out so far, as the records say.
+func (c *cluster) term() uint64 {
+	var kept struct {
+		Term uint64 `cbor:"term"`
+	}
+	store := statestore.New(c.net.Dial("reader"), stateAddr, 1e6, 1e6)
+	item, err := store.Get(c.t.Context(), "lead/term", statestore.Lease)
+	if err != nil || wire.Unmarshal(item.Value, &kept) != nil {
+		c.t.Fatalf("no term: %v", err)
+	}
+	return kept.Term
+}
+
+// begun returns how many starts there were of a job's tasks.
+func (c *cluster) begun(id string) (n int) {
+	for task, k := range c.referee.Begun() {
+		if strings.HasPrefix(task, id+"/") {
+			n += k
+		}
+	}
+	return n
+}
+
 // abort cancels a job.
 func (c *cluster) abort(node int, id string) {
 	c.t.Helper()
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -104,12 +104,22 @@
 	spot      bool
 }
 
-const maxEvents = 512
+// Times of the loop: how often it looks at what time alone brings about, and the least time
+// between two looks. Reports come by the hundred a second, and a look goes through all
+// machines: made after each report, it cost the square of their number.
+const (
+	loopTick = 100 * time.Millisecond
+	loopGap  = 10 * time.Millisecond
+)
+
+// minEvents is the least number of events that may wait for the loop. Otherwise they are
+// bounded by the connections: each has one request in flight.
+const minEvents = 512
 
 func newLead(ctx context.Context, n *Node, r *leadership.Reign) *lead {
 	l := &lead{
 		n: n, reign: r, ctx: ctx,
-		events:    make(chan func(), maxEvents),
+		events:    make(chan func(), max(minEvents, n.settings.Resources.MaxSockets)),
 		typeIndex: map[string]int{}, zoneIndex: map[string]int{}, teamIndex: map[string]int{},
 		book: ledger.NewBook(), fleet: fleet.New(),
 		machines: map[*fleet.Machine]*machineState{}, jobs: map[*ledger.Job]*jobState{},
@@ -187,9 +197,9 @@
 	l.spawn(func() { l.watch(ctx, rev, cancel) })
 	l.spawn(func() { l.rent(ctx) })
 	l.spawn(func() { l.followRelay(ctx) })
-	tick := time.NewTicker(100 * time.Millisecond)
-	defer tick.Stop()
-	slow := time.Now()
+	next := time.NewTimer(loopTick)
+	defer next.Stop()
+	slow, looked := time.Now(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -199,9 +209,15 @@
 			for len(l.events) > 0 && ctx.Err() == nil {
 				(<-l.events)()
 			}
-		case <-tick.C:
+			if rest := loopGap - time.Since(looked); rest > 0 {
+				next.Reset(rest)
+				continue
+			}
+		case <-next.C:
 		}
 		now := time.Now()
+		looked = now
+		next.Reset(loopTick)
 		if now.Sub(slow) >= time.Second {
 			slow = now
 			l.everySecond(now)
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -41,8 +41,8 @@
 	lodger    *relay.Lodger
 	changed   chan string // jobs to tell the leader of
 	lead      atomic.Pointer[lead]
-	harbour   harbour
-	strays    recent // machines that have reported here though this node does not lead
+	prolonged *sightings // machines whose leases this node has prolonged while it was isolated
+	strays    *sightings // machines that have reported here though this node does not lead
 	cancelled *cancellation.Register
 	guard     guard
 
@@ -87,6 +87,9 @@
 		store:    statestore.New(net.Dial, s.StateAddr, s.State.RPS*nodeShare, s.State.WriteRPS*writeShare),
 		cloud:    cloud.New(net.Dial, s.CloudAddr, s.Cloud.RPS*cloudShare),
 	}
+	report := s.Workers.Report * 3 / 2
+	n.prolonged = newSightings(report, s.Resources.MemBytes)
+	n.strays = newSightings(report+strayRound, s.Resources.MemBytes)
 	n.valueBytes.Store(int64(now.ValueBytes))
 	if now.Next != nil {
 		n.store.Refused = n.onRefused
@@ -364,78 +367,27 @@
 
 const isolatedAfter = 3 * time.Second
 
-// harbour remembers workers that an isolated node has answered. It answers one under
-// the token that the worker has itself, without commands, so that its lease and its
-// tasks last until a leader can be reached again; and turns it away with its next
-// report, so that one that can reach the leader does so. One that cannot is back in
-// time.
+// prolongs tells whether an isolated node answers a worker. It answers one under the token
+// that the worker has itself, without commands, so that its lease and its tasks last until a
+// leader can be reached again; and turns it away with its next report, so that one that can
+// reach the leader does so. One that cannot is back in time.
 //
 // It guards against the loss of all that runs where controllers come back in an
 // outage of the state service that outlasts the leases, or where a zone with a
 // controller is cut off from everything (197 tasks in inc-008f, 213 on a drawn day of
 // omaruru-fares-grown). No rule depends on a lease's end.
-type harbour struct {
-	mu   sync.Mutex
-	held map[string]time.Time
-}
-
-// maxHeld bounds what a harbour remembers.
-const maxHeld = 4096
-
-// takes tells whether to answer a worker: it was not answered for so long.
-func (h *harbour) takes(r *fleet.Report, pause time.Duration, now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if at, ok := h.held[r.Machine]; r.Token == 0 || ok && now.Sub(at) < pause {
-		return false
-	}
-	if h.held == nil || len(h.held) >= maxHeld {
-		h.held = map[string]time.Time{}
-	}
-	h.held[r.Machine] = now
-	return true
+func (n *Node) prolongs(r *fleet.Report) bool {
+	return r.Token != 0 && n.isolated() && n.mayProlong() && n.prolonged.noteUnlessSeen(r.Machine, time.Now())
 }
 
 // strayed returns how many machines have lately reported to this node though it does
 // not lead: within the time that a worker takes to come back from a node that does not
 // answer.
-func (n *Node) strayed() int {
-	return len(n.strays.within(n.settings.Workers.Report*3/2+strayRound, time.Now()))
-}
+func (n *Node) strayed() int { return n.strays.count(time.Now()) }
 
 // strayRound is the worker's wait for a response, and the pause behind it.
 const strayRound = 5 * time.Second
 
-// recent remembers names for a while.
-type recent struct {
-	mu   sync.Mutex
-	came map[string]time.Time
-}
-
-func (r *recent) note(name string, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.came == nil || len(r.came) >= maxHeld {
-		r.came = map[string]time.Time{}
-	}
-	r.came[name] = now
-}
-
-// within returns the names that have come within d, and forgets the others.
-func (r *recent) within(d time.Duration, now time.Time) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	names := make([]string, 0, len(r.came))
-	for name, at := range r.came {
-		if now.Sub(at) >= d {
-			delete(r.came, name)
-		} else {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // halts returns the commands that end tasks of cancelled jobs on a machine, as far as
 // this node knows of the cancellations: for a worker that it answers without leading for
 // certain. They are right whoever leads, and nobody may in an outage that outlasts the
@@ -463,7 +415,7 @@
 		if resp, ok := n.lodge(&r); ok {
 			return resp
 		}
-		if n.isolated() && n.mayProlong() && n.harbour.takes(&r, n.settings.Workers.Report*3/2, time.Now()) {
+		if n.prolongs(&r) {
 			return wire.Response{Status: 200, Body: wire.Marshal(fleet.Answer{Token: r.Token, Orders: n.halts(&r)})}
 		}
 		return n.redirect()
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -28,17 +28,20 @@
 		maxPause    = 5 * time.Second
 	)
 	var listed time.Time
+	listEvery := max(2*time.Second, l.n.settings.Cloud.ListLag/2)
+	machines := 0              // of the last list
 	var pending []cloud.Rental // asked for and not answered for certain
 	gap := decideEvery         // grows while the cloud does not serve
 	for ctx.Err() == nil {
 		failed := false
-		if time.Since(listed) >= max(2*time.Second, l.n.settings.Cloud.ListLag/2) {
+		if time.Since(listed) >= max(listEvery, l.n.cloud.ListEvery(machines)) {
 			asked := time.Now()
 			list, err := l.n.cloud.List(ctx)
 			if err != nil {
 				slog.Debug("machines not listed", "err", err)
 				failed = true
 			} else {
+				machines = len(list)
 				l.post(func() { l.onList(list, asked) })
 			}
 			listed = asked
--- a/internal/controller/roll_test.go
+++ b/internal/controller/roll_test.go
@@ -15,7 +15,6 @@
 	"tulipshelf/internal/config"
 	"tulipshelf/internal/job"
 	"tulipshelf/internal/ledger"
-	"tulipshelf/internal/statestore"
 	"tulipshelf/internal/wire"
 )
 
@@ -66,29 +65,6 @@
 	c.until("all serve", 10*time.Second, func() bool { return c.serves(0) && c.serves(1) && c.serves(2) })
 }
 
-// term returns the highest term given out so far, as the records say.
-func (c *cluster) term() uint64 {
-	var kept struct {
-		Term uint64 `cbor:"term"`
-	}
-	store := statestore.New(c.net.Dial("reader"), stateAddr, 1e6, 1e6)
-	item, err := store.Get(c.t.Context(), "lead/term", statestore.Lease)
-	if err != nil || wire.Unmarshal(item.Value, &kept) != nil {
-		c.t.Fatalf("no term: %v", err)
-	}
-	return kept.Term
-}
-
-// begun returns how many starts there were of a job's tasks.
-func (c *cluster) begun(id string) (n int) {
-	for task, k := range c.referee.Begun() {
-		if strings.HasPrefix(task, id+"/") {
-			n += k
-		}
-	}
-	return n
-}
-
 // Versions lead in turns, six times: what runs goes on, what is done or cancelled stays so,
 // and work that came under either is done once.
 func TestRollVersionsLeadInTurns(t *testing.T) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -165,7 +165,9 @@
 type Fleet struct {
 	byName map[string]*Machine
 	all    []*Machine
+	free   int // no dense index below it is free
 	gone   map[string]time.Time
+	pruned time.Time // when names that are long gone were last dropped
 }
 
 // New returns an empty fleet.
@@ -200,10 +202,11 @@
 	if f.Returned(name) {
 		return nil
 	}
-	i := 0
+	i := f.free
 	for i < len(f.all) && !f.all[i].Gone {
 		i++
 	}
+	f.free = i + 1
 	m := &Machine{Index: i, Name: name, Created: now, IdleSince: now,
 		Seen: map[key]Seen{}, Holds: map[key]*Hold{}, Blamed: map[string]struct{}{}}
 	f.byName[name] = m
@@ -279,15 +282,21 @@
 
 // forgetGone is far beyond the time for which a list or a report of a machine
 // that is gone may still arrive.
-const forgetGone = 30 * time.Minute
+const (
+	forgetGone = 30 * time.Minute
+	pruneEvery = time.Minute
+)
 
 // Removed takes the cloud's word (200 to a return) that a machine and all on it
 // are gone.
 func (f *Fleet) Removed(name string, now time.Time) []Outcome {
 	f.gone[name] = now
-	for n, t := range f.gone {
-		if now.Sub(t) > forgetGone {
-			delete(f.gone, n)
+	if now.Sub(f.pruned) >= pruneEvery {
+		f.pruned = now
+		for n, t := range f.gone {
+			if now.Sub(t) > forgetGone {
+				delete(f.gone, n)
+			}
 		}
 	}
 	m := f.byName[name]
@@ -296,6 +305,7 @@
 	}
 	delete(f.byName, name)
 	m.Gone = true
+	f.free = min(f.free, m.Index)
 	var out []Outcome
 	for _, h := range m.Sorted() {
 		out = append(out, Outcome{h, CauseLost})
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"tulipshelf/internal/cancellation"
@@ -219,13 +220,33 @@
 	leader, term := n.Known()
 	s := n.Register.State()
 	b := &Beat{Node: n.Node, Term: term, Leader: leader, Strays: uint32(n.Strays()), Served: n.Served(),
-		Cancelled: s.Jobs, Gone: n.Gone(), Gangs: true, MemoryMs: uint64(s.Memory.Milliseconds())}
+		Cancelled: s.Jobs, Gangs: true, MemoryMs: uint64(s.Memory.Milliseconds())}
 	if s.Knows {
 		b.KnownMs = uint64(s.Age.Milliseconds()) + 2 // rounded up, and one more
 	}
+	b.Gone = within(n.Gone(), maxBeat-proto.Size(b))
 	return marshal(b), s.Seq
 }
 
+// maxBeat is the size that a beat may have: that of a request body, less its fields' tags. The
+// register of cancelled jobs is bounded to what leaves room for the rest.
+const maxBeat = wire.MaxBody - 1<<10
+
+// within returns as many of the attempts as fit into so many bytes of a beat. The others can
+// wait: they spare work, and no rule rests on them.
+//
+// It guards against beats that are refused as too large, after which every node takes every
+// other for dead: 4,096 cancelled jobs and 1,000 attempts come to 74 KiB (TestLargestBeat).
+func within(gone []*Attempt, bytes int) []*Attempt {
+	for i, a := range gone {
+		bytes -= proto.Size(a) + protowire.SizeTag(1) + protowire.SizeVarint(maxBeat)
+		if bytes < 0 {
+			return gone[:i]
+		}
+	}
+	return gone
+}
+
 // statement returns what a beat says of cancellations.
 func statement(b *Beat) cancellation.Statement {
 	return cancellation.Statement{Jobs: b.Cancelled, Memory: time.Duration(b.MemoryMs) * time.Millisecond,
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -90,6 +91,13 @@
 	return n.asked[addr]
 }
 
+// AskedAll returns how many requests each server has had.
+func (n *Net) AskedAll() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.asked)
+}
+
 // again delivers copies of a request, if that is wanted.
 func (n *Net) again(addr string, req wire.Request) {
 	n.mu.Lock()
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -23,7 +23,7 @@
 	ErrUnknown     = errors.New("statestore: outcome unknown")
 	ErrNotFound    = errors.New("statestore: not found")
 	ErrNoSuchLease = errors.New("statestore: no such lease")
-	ErrCompacted   = errors.New("statestore: revision too old")
+	ErrCompacted   = errors.New("statestore: revision too old") // the keys have to be read again, by pages
 	ErrBudget      = fmt.Errorf("%w: over this node's own rate", ErrRefused)
 )
 
@@ -110,11 +110,19 @@
 // and then takes a few hundred.
 const timeout = 1500 * time.Millisecond
 
+// maxResponse bounds the memory that one response takes. A page of a range read has at most
+// 512 KiB, but changes come in one response however many they are: where they are more, the
+// keys are read again by pages.
+//
+// It guards against a node that has fallen behind and asks for the same changes over and over,
+// until they are older than the last 10,000 (TestFallsBehind).
+const maxResponse = 4 << 20
+
 // New returns a client that uses at most the given requests and changes a
 // second.
 func New(dial wire.DialFunc, addr string, rps, writeRPS float64) *Client {
 	return &Client{
-		http:   &wire.Client{Dial: dial, Addr: addr, Limit: 4 << 20, MaxIdle: 6},
+		http:   &wire.Client{Dial: dial, Addr: addr, Limit: maxResponse, MaxIdle: 6},
 		reqs:   newBucket(rps),
 		writes: newBucket(writeRPS),
 	}
@@ -229,7 +237,11 @@
 	}
 	q := "/changes?starts=" + prefix + "&after=" + strconv.FormatUint(after, 10) +
 		"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
-	if err := c.do(ctx, "GET", q, nil, &out); err != nil {
+	err := c.do(ctx, "GET", q, nil, &out)
+	if errors.Is(err, wire.ErrTooLarge) {
+		return nil, 0, fmt.Errorf("%w: %w", ErrCompacted, err)
+	}
+	if err != nil {
 		return nil, 0, err
 	}
 	return out.Events, out.Rev, nil
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -21,6 +21,12 @@
 // a message.
 var ErrMalformed = errors.New("wire: malformed message")
 
+// ErrTooLarge is wrapped by errors about a body over the limit. It wraps ErrMalformed: what
+// follows on the connection cannot be read.
+var ErrTooLarge = fmt.Errorf("%w: too large", ErrMalformed)
+
+func tooLarge(limit int) error { return fmt.Errorf("%w: body over %d bytes", ErrTooLarge, limit) }
+
 func malformed(format string, args ...any) error {
 	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, args...))
 }
@@ -186,7 +192,7 @@
 		return nil, 0, nil
 	}
 	if f.length > limit {
-		return nil, 0, malformed("body over %d bytes", limit)
+		return nil, 0, tooLarge(limit)
 	}
 	if len(buf) < f.length {
 		return nil, 0, ErrIncomplete
@@ -212,7 +218,7 @@
 		}
 		pos += len(line) + 2
 		if len(body)+int(n) > limit {
-			return nil, 0, malformed("body over %d bytes", limit)
+			return nil, 0, tooLarge(limit)
 		}
 		if len(buf) < pos+int(n)+2 {
 			return nil, 0, ErrIncomplete
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -33,9 +33,15 @@
 	links map[*link]struct{}
 }
 
-// crowdedShare is the part of MaxConns from which on connections that need not
-// last are closed after each answer.
-const crowdedShare = 0.8
+// The parts of MaxConns from which on connections are closed after each answer: those that
+// need not last, and then all. What comes beyond them takes turns in what is left.
+//
+// The second guards against clients that find every connection taken by others: of 6,000
+// workers at 3,561 sockets thousands were refused until their leases ran out.
+const (
+	crowdedShare = 0.8
+	fullShare    = 0.95
+)
 
 // link is what the loop and a connection's goroutine share.
 type link struct {
@@ -244,6 +250,15 @@
 	errShed = errors.New("wire: connection closed to make room")
 )
 
+// crowded tells whether a connection had better be closed after its answer.
+func (s *Server) crowded(lasting bool) bool {
+	share := crowdedShare
+	if lasting {
+		share = fullShare
+	}
+	return float64(s.open.Load()) > share*float64(s.MaxConns)
+}
+
 // converse is the goroutine of one connection.
 func (s *Server) converse(ctx context.Context, l *link) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -266,8 +281,7 @@
 		l.lasting, l.idle = lasting, time.Time{}
 		l.mu.Unlock()
 		resp := s.Handler(ctx, &req)
-		crowded := float64(s.open.Load()) > crowdedShare*float64(s.MaxConns)
-		resp.Close = resp.Close || req.Close || crowded && !lasting
+		resp.Close = resp.Close || req.Close || s.crowded(lasting)
 		l.mu.Lock()
 		l.idle = time.Now()
 		l.mu.Unlock()
--- a/internal/wire/server_test.go
+++ b/internal/wire/server_test.go
@@ -105,6 +105,35 @@
 	})
 }
 
+// Where nearly all connections are taken, workers' are closed after each answer too, so that
+// others find room; below that they stay, and users' are closed.
+func TestClosedWhenCrowded(t *testing.T) {
+	for _, x := range []struct {
+		open         int64
+		worker, user bool // whether their connections are closed
+	}{{80, false, false}, {81, false, true}, {95, false, true}, {96, true, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &Server{MaxConns: 100, IdleTimeout: time.Minute, ReadTimeout: 10 * time.Second,
+				Handler: func(context.Context, *Request) Response { return Response{Status: 200} },
+				Lasting: func(r *Request) bool { return r.Path == "/report" }}
+			s.open.Store(x.open)
+			ctx, cancel := context.WithCancel(context.Background())
+			for path, want := range map[string]bool{"/report": x.worker, "/job": x.user} {
+				c := &loopConn{}
+				c.link = s.newLink(c)
+				go s.converse(ctx, c.link)
+				c.data("GET " + path + " HTTP/1.1\r\n\r\n")
+				time.Sleep(time.Second)
+				if out, closed := c.sent(); closed != want || !strings.HasPrefix(out, "HTTP/1.1 200") {
+					t.Errorf("%d open, %s: closed %v, %q", x.open, path, closed, out)
+				}
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
 func TestConnectionAnswersInTurn(t *testing.T) {
 	converse(t, func(c *loopConn) {
 		c.data("GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Len")
