--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"tulipshelf/internal/wire"
@@ -118,90 +117,46 @@
 	return id, nil
 }
 
-// Decode reads and checks a submission.
+// Decode reads and checks a submission. The error names the first field that is wrong.
 func Decode(body []byte) (*Spec, error) {
 	var s submission
 	if err := wire.Unmarshal(body, &s); err != nil {
 		return nil, fmt.Errorf("job: %w", err)
 	}
-	var fault error
-	bad := func(field, why string) {
-		if fault == nil {
-			fault = fmt.Errorf("job: %s %s", field, why)
-		}
-	}
-	text := func(field string, p *string) string {
-		if p == nil || *p == "" || len(*p) > maxText {
-			bad(field, "is missing, empty or too long")
-			return ""
-		}
-		return *p
-	}
-	amount := func(field string, p *float64, optional bool) float64 {
-		if p == nil {
-			if !optional {
-				bad(field, "is missing")
-			}
-			return 0
-		}
-		if math.IsNaN(*p) || *p < 0 || *p > 1e9 {
-			bad(field, "is out of range")
-		}
-		return *p
-	}
-	flag := func(field string, p *bool) bool {
-		if p == nil {
-			bad(field, "is missing")
-			return false
-		}
-		return *p
-	}
+	var c checker
 	out := &Spec{
-		ID:          text("uid", s.ID),
-		Class:       text("lane", s.Class),
-		Team:        text("crew", s.Team),
-		Shape:       Shape(text("shape", s.Shape)),
-		Priority:    text("rank", s.Priority),
-		CPUs:        amount("cpus", s.CPUs, false),
-		GPUs:        amount("gpus", s.GPUs, false),
-		RAM:         amount("ram_gb", s.RAM, false),
-		Image:       text("bundle", s.Image),
-		ImageGB:     amount("image_gb", s.ImageGB, false),
-		OneZone:     flag("same_place", s.OneZone),
-		Apart:       flag("apart", s.Apart),
-		Spot:        flag("loaners", s.Spot),
-		ExpectS:     amount("expect_s", s.ExpectS, false),
-		CheckpointS: amount("stash_every_s", s.CheckpointS, false),
-		SaveS:       amount("stash_s", s.SaveS, false),
-		DueS:        amount("due_s", s.DueS, true),
-	}
-	if !ValidID(out.ID) {
-		bad("uid", "is not a job id")
-	}
-	if out.Shape != Array && out.Shape != Service && out.Shape != Gang {
-		bad("shape", fmt.Sprintf("%.20q is unknown", string(out.Shape)))
-	}
-	if _, ok := priorities[out.Priority]; !ok {
-		bad("rank", "is unknown")
-	}
-	if s.Tasks == nil || *s.Tasks < 1 || *s.Tasks > MaxTasks {
-		bad("tickets", "is missing or out of range")
-	} else {
-		out.Tasks = int(*s.Tasks)
-	}
+		ID:          c.text("uid", s.ID),
+		Class:       c.text("lane", s.Class),
+		Team:        c.text("crew", s.Team),
+		Shape:       Shape(c.text("shape", s.Shape)),
+		Priority:    c.text("rank", s.Priority),
+		CPUs:        c.amount("cpus", s.CPUs),
+		GPUs:        c.amount("gpus", s.GPUs),
+		RAM:         c.amount("ram_gb", s.RAM),
+		Image:       c.text("bundle", s.Image),
+		ImageGB:     c.amount("image_gb", s.ImageGB),
+		OneZone:     c.flag("same_place", s.OneZone),
+		Apart:       c.flag("apart", s.Apart),
+		Spot:        c.flag("loaners", s.Spot),
+		ExpectS:     c.amount("expect_s", s.ExpectS),
+		CheckpointS: c.amount("stash_every_s", s.CheckpointS),
+		SaveS:       c.amount("stash_s", s.SaveS),
+	}
+	if s.DueS != nil {
+		out.DueS = c.amount("due_s", s.DueS)
+	}
+	c.id(out.ID)
+	c.shape(out.Shape)
+	c.priority(out.Priority)
+	out.Tasks = c.tasks(s.Tasks)
 	if s.Types != nil {
-		out.Types = *s.Types
-		for _, t := range out.Types {
-			if t == "" || len(t) > maxText {
-				bad("builds", "holds an empty or too long name")
-			}
-		}
+		out.Types = c.types(*s.Types)
 	}
 	if s.Zone != nil {
-		out.Zone = text("depot", s.Zone)
+		out.Zone = c.text("depot", s.Zone)
 	}
-	if fault != nil {
-		return nil, fault
+	if c.fault != nil {
+		return nil, c.fault
 	}
 	return out, nil
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -39,12 +39,12 @@
 
 // Term is one time of being the leader.
 type Term struct {
-	mu    sync.Mutex
-	number  uint64
-	rev   uint64
-	lease uint64
-	until time.Time
-	c     *Candidate
+	mu     sync.Mutex
+	number uint64
+	rev    uint64
+	lease  uint64
+	until  time.Time
+	c      *Candidate
 }
 
 // Number returns the token of this term.
@@ -76,15 +76,15 @@
 	Store *statestore.Client
 	Defer func() bool // whether another node had better be elected; nil: never
 
-	mu     sync.Mutex
-	leader string
-	term   uint64
-	seen   time.Time          // when the leader key was last read and named another node
-	current *Term             // while this node leads
-	depose context.CancelFunc // ends it
-	asking bool               // whether a higher token that was seen is a term
-	yields bool               // whether this term of leadership ends for another node to lead
-	waited bool               // whether this node has let another go first in this election
+	mu      sync.Mutex
+	leader  string
+	term    uint64
+	seen    time.Time          // when the leader key was last read and named another node
+	current *Term              // while this node leads
+	depose  context.CancelFunc // ends it
+	asking  bool               // whether a higher token that was seen is a term
+	yields  bool               // whether this term of leadership ends for another node to lead
+	waited  bool               // whether this node has let another go first in this election
 }
 
 // Leader returns the name of the node last known to lead and its term. A node names
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -23,8 +23,8 @@
 
 // Paths served to other controllers.
 const (
-	heartbeatPath    = "/beat"
-	changedPath = "/changed"
+	heartbeatPath = "/beat"
+	changedPath   = "/changed"
 )
 
 // Other is another controller.
@@ -35,13 +35,13 @@
 
 // Net speaks with the other controllers.
 type Net struct {
-	Dial    wire.DialFunc // nil: TCP
-	Node    string
-	Others  []Other
-	Known   func() (leader string, term uint64) // what this node knows
-	Learned func(leader string, term uint64)    // what another node knows
-	Changed func(jobs []string)                 // jobs changed elsewhere
-	Redirected  func() int                          // machines that came to this node, which does not lead
+	Dial       wire.DialFunc // nil: TCP
+	Node       string
+	Others     []Other
+	Known      func() (leader string, term uint64) // what this node knows
+	Learned    func(leader string, term uint64)    // what another node knows
+	Changed    func(jobs []string)                 // jobs changed elsewhere
+	Redirected func() int                          // machines that came to this node, which does not lead
 
 	Served    func() bool            // whether the state service serves this node
 	Register  *cancellation.Register // of cancelled jobs
@@ -49,16 +49,16 @@
 	Gone      func() []*Attempt      // of cancelled jobs, though recorded as live
 	LearnGone func([]*Attempt)       // the same of another node
 
-	mu      sync.Mutex
-	rounds  map[string]*round        // heartbeats to come for which somebody waits
-	wake    map[string]chan struct{} // sends one at once
-	began   time.Time
-	clients map[string]*wire.Client
-	heard   map[string]time.Time
-	leading map[string]time.Time // when a node last said that it leads itself
-	redirected  map[string]int       // machines that came to a node which does not lead
-	served  map[string]bool      // whether the state service served a node when last heard
-	gangs   map[string]bool      // whether a node's version ran gangs when last heard
+	mu         sync.Mutex
+	rounds     map[string]*round        // heartbeats to come for which somebody waits
+	wake       map[string]chan struct{} // sends one at once
+	began      time.Time
+	clients    map[string]*wire.Client
+	heard      map[string]time.Time
+	leading    map[string]time.Time // when a node last said that it leads itself
+	redirected map[string]int       // machines that came to a node which does not lead
+	served     map[string]bool      // whether the state service served a node when last heard
+	gangs      map[string]bool      // whether a node's version ran gangs when last heard
 }
 
 // round is one heartbeat to come.
@@ -68,7 +68,7 @@
 
 const (
 	heartbeatEvery = time.Second
-	timeout   = 800 * time.Millisecond
+	timeout        = 800 * time.Millisecond
 )
 
 // Run sends heartbeats until ctx ends.
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -62,84 +62,131 @@
 // rest, and returns machines that have been empty for idleReturn and that the
 // demand does not use. Demand comes in order of importance.
 func Plan(demand []Demand, machines []Machine, pools []Pool, idleReturn time.Duration) Decision {
-	var out Decision
-	free := make([]placement.Amounts, len(machines))
-	used := make([]bool, len(machines))
-	order := make([]int, 0, len(machines))
+	p := newFit(machines, pools)
+	for _, d := range demand {
+		p.add(d)
+	}
+	return Decision{Rent: p.rents(), Return: p.unused(idleReturn)}
+}
+
+// fit is demand being fitted into machines, those to be rented included.
+type fit struct {
+	machines []Machine
+	pools    []Pool
+	order    []int               // usable machines, by position, in the order in which they are filled
+	free     []placement.Amounts // by machine
+	used     []bool              // by machine
+	rented   []rentedMachine
+	counts   []int // machines rented so far, by pool
+	first    []int // pools of which machines are rented, the most important first
+	perZone  map[int]int
+}
+
+// rentedMachine is a machine that is to be rented.
+type rentedMachine struct {
+	pool int
+	free placement.Amounts
+}
+
+func newFit(machines []Machine, pools []Pool) *fit {
+	p := &fit{machines: machines, pools: pools, order: make([]int, 0, len(machines)),
+		free: make([]placement.Amounts, len(machines)), used: make([]bool, len(machines)),
+		counts: make([]int, len(pools)), perZone: map[int]int{}}
 	for i, m := range machines {
-		free[i] = m.Free
+		p.free[i] = m.Free
+		p.perZone[m.Zone]++
 		if m.Usable {
-			order = append(order, i)
+			p.order = append(p.order, i)
 		}
 	}
 	// Machines in use first, then those up longest in use: what stays empty is
 	// what can be returned. Spot machines before others among equals, being cheaper.
-	sort.SliceStable(order, func(x, y int) bool {
-		a, b := machines[order[x]], machines[order[y]]
+	sort.SliceStable(p.order, func(x, y int) bool {
+		a, b := machines[p.order[x]], machines[p.order[y]]
 		if a.Empty != b.Empty {
 			return !a.Empty
 		}
 		return a.Spot && !b.Spot
 	})
-	type fresh struct {
-		pool int
-		free placement.Amounts
+	return p
+}
+
+// add fits in as many tasks of d as there is room for, or machines for them can be rented.
+func (p *fit) add(d Demand) {
+	if d.OneZone && d.Zone < 0 {
+		d.Zone = d.bestZone(p.machines, p.free, p.order, p.pools)
 	}
-	var rented []fresh
-	perZone := map[int]int{}
-	for _, m := range machines {
-		perZone[m.Zone]++
+	// Room only shrinks, so what has none for one task has none for the next.
+	next, nextRented := 0, 0
+	for range d.Tasks {
+		if next = p.nextMachine(&d, next); next < len(p.order) {
+			i := p.order[next]
+			p.free[i] = p.free[i].Add(d.Need, -1)
+			p.used[i] = true
+			continue
+		}
+		nextRented = p.nextRented(&d, nextRented)
+		if nextRented == len(p.rented) && !p.rent(&d) {
+			return
+		}
+		r := &p.rented[nextRented]
+		r.free = r.free.Add(d.Need, -1)
 	}
-	counts := make([]int, len(pools))
-	for _, d := range demand {
-		if d.OneZone && d.Zone < 0 {
-			d.Zone = d.bestZone(machines, free, order, pools)
+}
+
+// nextMachine returns the first place in the order, from one on, of a machine with room for a
+// task; len(p.order) if there is none.
+func (p *fit) nextMachine(d *Demand, from int) int {
+	for ; from < len(p.order); from++ {
+		i := p.order[from]
+		m := &p.machines[i]
+		if p.free[i].Fits(d.Need) && d.allows(m.Type, m.Zone, m.Spot) {
+			break
 		}
-		// Room only shrinks, so what has none for one task has none for the next.
-		next, nextRented := 0, 0
-		for n := 0; n < d.Tasks; n++ {
-			for ; next < len(order); next++ {
-				m := &machines[order[next]]
-				if free[order[next]].Fits(d.Need) && d.allows(m.Type, m.Zone, m.Spot) {
-					break
-				}
-			}
-			if next < len(order) {
-				i := order[next]
-				free[i] = free[i].Add(d.Need, -1)
-				used[i] = true
-				continue
-			}
-			at := -1
-			for ; nextRented < len(rented); nextRented++ {
-				p := &pools[rented[nextRented].pool]
-				if rented[nextRented].free.Fits(d.Need) && d.allows(p.Type, p.Zone, p.Spot) {
-					at = nextRented
-					break
-				}
-			}
-			if at < 0 {
-				p := d.cheapest(pools, counts, perZone)
-				if p < 0 {
-					break
-				}
-				if counts[p] == 0 {
-					out.Rent = append(out.Rent, Rent{Pool: p})
-				}
-				counts[p]++
-				perZone[pools[p].Zone]++
-				rented = append(rented, fresh{p, pools[p].Capacity})
-				at = len(rented) - 1
-			}
-			rented[at].free = rented[at].free.Add(d.Need, -1)
+	}
+	return from
+}
+
+// nextRented returns the position, from one on, of a rented machine with room for a task;
+// len(p.rented) if there is none.
+func (p *fit) nextRented(d *Demand, from int) int {
+	for ; from < len(p.rented); from++ {
+		pool := &p.pools[p.rented[from].pool]
+		if p.rented[from].free.Fits(d.Need) && d.allows(pool.Type, pool.Zone, pool.Spot) {
+			break
 		}
 	}
-	for i := range out.Rent {
-		out.Rent[i].Count = counts[out.Rent[i].Pool]
+	return from
+}
+
+// rent rents the cheapest machine for a task and tells whether one can be had.
+func (p *fit) rent(d *Demand) bool {
+	pool := d.cheapest(p.pools, p.counts, p.perZone)
+	if pool < 0 {
+		return false
+	}
+	if p.counts[pool] == 0 {
+		p.first = append(p.first, pool)
 	}
-	for i, m := range machines {
-		if m.Empty && !used[i] && m.Idle >= idleReturn {
-			out.Return = append(out.Return, i)
+	p.counts[pool]++
+	p.perZone[p.pools[pool].Zone]++
+	p.rented = append(p.rented, rentedMachine{pool, p.pools[pool].Capacity})
+	return true
+}
+
+// rents returns what is to be rented.
+func (p *fit) rents() (out []Rent) {
+	for _, pool := range p.first {
+		out = append(out, Rent{Pool: pool, Count: p.counts[pool]})
+	}
+	return out
+}
+
+// unused returns the machines that can be returned.
+func (p *fit) unused(idleReturn time.Duration) (out []int) {
+	for i, m := range p.machines {
+		if m.Empty && !p.used[i] && m.Idle >= idleReturn {
+			out = append(out, i)
 		}
 	}
 	return out
