Write batches and give up machines in steps with names

Counts of silent machines are a small type in place of five variables; candidates for a batch compare themselves. Behaviour equal by the tests.

--- a/internal/controller/retire.go
+++ b/internal/controller/retire.go
@@ -40,104 +40,143 @@
 	if !l.term.Valid() || !l.surveyed(now) {
 		return
 	}
-	op := &l.node.operator
-	report, lease := l.node.settings.Workers.Report, l.node.settings.Workers.Lease
-	known, silent := 0, 0
-	quiet := func(m *fleet.Machine) time.Duration {
-		since := l.started
-		if m.Known {
-			since = m.Heard
+	zones := l.silence(now)
+	l.noteCuts(zones, now)
+	l.fleet.Each(func(m *fleet.Machine) {
+		if why := l.retireReason(m, zones, now); m.RetireReason == "" && why != "" {
+			giveUp(m, why)
 		}
-		return now.Sub(since)
+	})
+}
+
+// retireReason returns why a machine is to be given up; empty: it is not.
+func (l *leader) retireReason(m *fleet.Machine, zones zoneSilence, now time.Time) string {
+	inUse := m.Known || len(m.Assignments) > 0
+	switch {
+	case m.Failed:
+		return "failed"
+	case m.Sick:
+		return "faulty"
+	case !inUse && now.Sub(m.Created) > l.bootLimit(m):
+		return "never came up"
+	case inUse && l.lost(m, zones, now):
+		return "silent"
+	case !m.Recall.IsZero() && now.After(m.Recall) && l.quiet(m, now) >= l.node.operator.Silent:
+		return "taken back"
+	case m.Known && len(m.Assignments) == 0 && (m.Type < 0 || m.Zone < 0):
+		return "of no known type or zone"
+	case !m.DeafSince.IsZero() && now.Sub(m.DeafSince) >= deafPatience:
+		return "gets no commands"
 	}
-	zoneKnown, zoneSilent := make([]int, len(l.zones)), make([]int, len(l.zones))
-	zoneHeard := make([]time.Time, len(l.zones)) // when any machine there was last heard
+	return ""
+}
+
+// quiet returns for how long a machine has not been heard by this leader.
+func (l *leader) quiet(m *fleet.Machine, now time.Time) time.Duration {
+	if m.Known {
+		return now.Sub(m.Heard)
+	}
+	return now.Sub(l.started)
+}
+
+// silentCount is how many machines there are, and how many of them are silent.
+type silentCount struct{ all, silent int }
+
+// cut tells whether so many are silent that the network is more likely to be at fault.
+func (c silentCount) cut() bool { return c.silent > 2 && c.silent*maxDeadShare > c.all }
+
+// zoneSilence is which machines are silent.
+type zoneSilence struct {
+	all    silentCount
+	byZone []silentCount
+	heard  []time.Time // by zone: when any machine there was last heard
+}
+
+// silence counts the machines that are silent.
+func (l *leader) silence(now time.Time) zoneSilence {
+	z := zoneSilence{byZone: make([]silentCount, len(l.zones)), heard: make([]time.Time, len(l.zones))}
 	l.fleet.Each(func(m *fleet.Machine) {
-		if m.Known || len(m.Assignments) > 0 {
-			known++
-			isSilent := quiet(m) >= op.Silent
-			if isSilent {
-				silent++
-			}
-			if m.Zone >= 0 {
-				zoneKnown[m.Zone]++
-				if m.Heard.After(zoneHeard[m.Zone]) {
-					zoneHeard[m.Zone] = m.Heard
-				}
-				if isSilent {
-					zoneSilent[m.Zone]++
-				}
-			}
+		if !m.Known && len(m.Assignments) == 0 {
+			return
+		}
+		silent := 0
+		if l.quiet(m, now) >= l.node.operator.Silent {
+			silent = 1
+		}
+		z.all.all++
+		z.all.silent += silent
+		if m.Zone < 0 {
+			return
+		}
+		z.byZone[m.Zone].all++
+		z.byZone[m.Zone].silent += silent
+		if m.Heard.After(z.heard[m.Zone]) {
+			z.heard[m.Zone] = m.Heard
 		}
 	})
-	cut := func(silent, known int) bool { return silent > 2 && silent*maxDeadShare > known }
-	for z := range l.zones {
-		// Of hundreds of machines dozens report each second. Where none does, the zone is
-		// cut off, long before a third of its machines count as silent; those that reported
-		// last before the cut would be given up until then.
-		gap := now.Sub(zoneHeard[z])
-		missed := float64(zoneKnown[z]) * gap.Seconds() / report.Seconds()
-		none := !zoneHeard[z].IsZero() && zoneKnown[z] > 2 && gap >= time.Second && missed >= cutMissed
-		if none || cut(silent, known) || cut(zoneSilent[z], zoneKnown[z]) {
+	return z
+}
+
+// noteCuts notes which zones are cut off now. Of hundreds of machines dozens report each
+// second: where none does, the zone is cut off, long before a third of its machines count as
+// silent; those that reported last before the cut would be given up until then.
+func (l *leader) noteCuts(zones zoneSilence, now time.Time) {
+	for z, count := range zones.byZone {
+		gap := now.Sub(zones.heard[z])
+		missed := float64(count.all) * gap.Seconds() / l.node.settings.Workers.Report.Seconds()
+		none := !zones.heard[z].IsZero() && count.all > 2 && gap >= time.Second && missed >= cutMissed
+		if none || zones.all.cut() || count.cut() {
 			l.cutUntil[z] = now
 		}
 	}
-	// Where a zone is cut off its machines are not dead. A controller there may keep
-	// their leases; without one their tasks end with those, and then nothing is gained
-	// by returning them either, unless services wait to start elsewhere: others in
-	// their place would be cut off too (rough of omaruru-fares-grown: 129 machines
-	// given up with 516 tasks in a cut of 55 s, in which no zone had room for others).
-	// Once the cut is over they have the usual time anew to come back, and after an
-	// election a lease's time, as they may have to try every node (inc-2c92: 77 given
-	// up as soon as two thirds were back). Those that serve in a zone of which a new
-	// leader has heard nobody were silent before it: the zone was cut off, as others
-	// have found their way by then (zone of omaruru-fares-fleet: replicas of a quarter
-	// of the fleet were gone for 15 s more than need be).
-	lost := func(m *fleet.Machine) bool {
-		since := quiet(m)
-		if m.Zone >= 0 && !l.cutUntil[m.Zone].IsZero() {
-			if l.cutUntil[m.Zone].Equal(now) {
-				if m.Serves() && !l.node.settings.Controls(l.zones[m.Zone]) {
-					if !m.Known && zoneSilent[m.Zone] == zoneKnown[m.Zone] {
-						return since >= op.Abandon
-					}
-					return since >= max(op.Abandon, lease)
-				}
-				return since >= max(op.Abandon, cutPatience*lease)
-			}
-			since = min(since, now.Sub(l.cutUntil[m.Zone]))
-		}
-		if !m.Known {
-			return since >= max(op.Abandon, lease)
+}
+
+// lost tells whether a machine that was there is taken for lost.
+//
+// Where a zone is cut off its machines are not dead. A controller there may keep
+// their leases; without one their tasks end with those, and then nothing is gained
+// by returning them either, unless services wait to start elsewhere: others in
+// their place would be cut off too (rough of omaruru-fares-grown: 129 machines
+// given up with 516 tasks in a cut of 55 s, in which no zone had room for others).
+// Once the cut is over they have the usual time anew to come back, and after an
+// election a lease's time, as they may have to try every node (inc-2c92: 77 given
+// up as soon as two thirds were back).
+func (l *leader) lost(m *fleet.Machine, zones zoneSilence, now time.Time) bool {
+	abandon, lease := l.node.operator.Abandon, l.node.settings.Workers.Lease
+	silent := l.quiet(m, now)
+	if m.Zone >= 0 && !l.cutUntil[m.Zone].IsZero() {
+		if l.cutUntil[m.Zone].Equal(now) {
+			return silent >= l.cutPatience(m, zones.byZone[m.Zone])
 		}
-		// Only where a cut would have shown by now may it be the machine alone.
-		alone := m.Zone >= 0 && now.Sub(l.cutUntil[m.Zone]) > lease &&
-			float64(zoneKnown[m.Zone])*(op.Silent-report*5/4).Seconds() >= cutMissed*report.Seconds()
-		return since >= op.Abandon || alone && m.Unreached && since >= op.Silent
+		silent = min(silent, now.Sub(l.cutUntil[m.Zone]))
 	}
-	l.fleet.Each(func(m *fleet.Machine) {
-		why := ""
-		switch {
-		case m.RetireReason != "":
-		case m.Failed:
-			why = "failed"
-		case m.Sick:
-			why = "faulty"
-		case !m.Known && len(m.Assignments) == 0 && now.Sub(m.Created) > l.bootLimit(m):
-			why = "never came up"
-		case (m.Known || len(m.Assignments) > 0) && lost(m):
-			why = "silent"
-		case !m.Recall.IsZero() && now.After(m.Recall) && quiet(m) >= op.Silent:
-			why = "taken back"
-		case m.Known && len(m.Assignments) == 0 && (m.Type < 0 || m.Zone < 0):
-			why = "of no known type or zone"
-		case !m.DeafSince.IsZero() && now.Sub(m.DeafSince) >= deafPatience:
-			why = "gets no commands"
-		}
-		if why != "" {
-			giveUp(m, why)
-		}
-	})
+	if !m.Known {
+		return silent >= max(abandon, lease)
+	}
+	return silent >= abandon || m.Unreached && silent >= l.node.operator.Silent && l.alone(m, zones, now)
+}
+
+// cutPatience is for how long a machine in a zone that is cut off is kept. Those that serve in
+// a zone of which a new leader has heard nobody were silent before it: the zone was cut off,
+// as others have found their way by then (zone of omaruru-fares-fleet: replicas of a quarter
+// of the fleet were gone for 15 s more than need be).
+func (l *leader) cutPatience(m *fleet.Machine, zone silentCount) time.Duration {
+	abandon, lease := l.node.operator.Abandon, l.node.settings.Workers.Lease
+	switch {
+	case !m.Serves() || l.node.settings.Controls(l.zones[m.Zone]):
+		return max(abandon, cutPatience*lease)
+	case !m.Known && zone.silent == zone.all:
+		return abandon
+	}
+	return max(abandon, lease)
+}
+
+// alone tells whether it is the machine alone that is silent: only where a cut would have
+// shown by now.
+func (l *leader) alone(m *fleet.Machine, zones zoneSilence, now time.Time) bool {
+	report := l.node.settings.Workers.Report
+	return m.Zone >= 0 && now.Sub(l.cutUntil[m.Zone]) > l.node.settings.Workers.Lease &&
+		float64(zones.byZone[m.Zone].all)*(l.node.operator.Silent-report*5/4).Seconds() >= cutMissed*report.Seconds()
 }
 
 func (l *leader) bootLimit(m *fleet.Machine) time.Duration {
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -1,7 +1,8 @@
 package ledger
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"tulipshelf/internal/statestore"
@@ -40,6 +41,7 @@
 	chunks []chunkWrite
 	ends   []endWrite
 	layout *layoutWrite // nil: of none
+	size   int          // in bytes, about
 }
 
 type chunkWrite struct {
@@ -54,111 +56,106 @@
 	gone []int // chunks deleted with it
 }
 
-// NextBatch builds the most urgent changes into one transaction of at most
-// maxOps changes, fenced by the leader's term, or returns nil. What can wait is
-// left out once there are spareOps, and what is larger than the state service takes for
-// as long as it is. One batch is in flight at a time.
-func (b *Jobs) NextBatch(fence statestore.Cond, maxOps, spareOps, valueBytes int, now time.Time) *Batch {
-	if bt := b.nextLayout(fence, maxOps, valueBytes); bt != nil {
-		return bt
+// candidate is a change that waits to be written: of a chunk, or the end of a job.
+type candidate struct {
+	j       *Job
+	c       *chunk // nil: the job's end
+	urgency int
+
+	// How long it has waited to be written, times the starts that wait with it. By the
+	// jobs' arrival the chunks of a large array that change all the time went before
+	// all that came later (245 small jobs of inc-bc39 were not written for 100 s); by
+	// the wait alone 400 jobs of one task held up as many starts in ten chunks.
+	weight float64
+}
+
+// compare orders candidates: the most urgent first.
+func (k candidate) compare(other candidate) int {
+	if order := cmp.Or(cmp.Compare(other.urgency, k.urgency), cmp.Compare(other.weight, k.weight),
+		cmp.Compare(k.j.Arrival, other.j.Arrival)); order != 0 {
+		return order
 	}
-	type cand struct {
-		j   *Job
-		c   *chunk // nil: the job's end
-		key int
+	if k.c == nil || other.c == nil {
+		return 0
+	}
+	return k.c.n - other.c.n
+}
 
-		// How long it has waited to be written, times the starts that wait with it. By the
-		// jobs' arrival the chunks of a large array that change all the time went before
-		// all that came later (245 small jobs of inc-bc39 were not written for 100 s); by
-		// the wait alone 400 jobs of one task held up as many starts in ten chunks.
-		weight float64
-	}
-	var cands []cand
-	weight := func(c *chunk) float64 { return now.Sub(c.since).Seconds() * float64(max(1, c.starts)) }
+// candidates returns all changes that may be written now.
+func (b *Jobs) candidates(now time.Time) (out []candidate) {
 	for j := range b.dirty {
 		if j.over() {
-			if j.overSince.IsZero() {
-				j.overSince = now
-			}
-			waited := now.Sub(j.overSince)
-			switch {
-			case !j.Cancelled:
-				cands = append(cands, cand{j, nil, keyDone, 0})
-			case waited < overdue:
-				cands = append(cands, cand{j, nil, keyCancelled, 0})
-			default:
-				cands = append(cands, cand{j, nil, keyOverdue, waited.Seconds()})
-			}
+			out = append(out, j.endCandidate(now))
 			continue
 		}
 		for _, c := range j.chunks {
-			switch {
-			case !c.dirty:
-			case c.starts > 0 && j.Cancelled:
-				// The starts are about to be taken back, unsent.
-			case c.starts > 0:
-				cands = append(cands, cand{j, c, keyStart + j.Spec.Rank(), weight(c)})
-			case now.Sub(c.since) >= overdue:
-				cands = append(cands, cand{j, c, keyOverdue, weight(c)})
-			case now.Sub(c.since) >= lazy:
-				cands = append(cands, cand{j, c, keyLazy, weight(c)})
+			if urgency, due := j.urgency(c, now); due {
+				weight := now.Sub(c.since).Seconds() * float64(max(1, c.starts))
+				out = append(out, candidate{j, c, urgency, weight})
 			}
 		}
 	}
-	if len(cands) == 0 || maxOps < 1 {
+	return out
+}
+
+// endCandidate returns the end of a job as a candidate.
+func (j *Job) endCandidate(now time.Time) candidate {
+	if j.overSince.IsZero() {
+		j.overSince = now
+	}
+	waited := now.Sub(j.overSince)
+	switch {
+	case !j.Cancelled:
+		return candidate{j: j, urgency: keyDone}
+	case waited < overdue:
+		return candidate{j: j, urgency: keyCancelled}
+	}
+	return candidate{j: j, urgency: keyOverdue, weight: waited.Seconds()}
+}
+
+// urgency returns how urgent it is to write a chunk, and whether it is due at all.
+func (j *Job) urgency(c *chunk, now time.Time) (urgency int, due bool) {
+	switch waited := now.Sub(c.since); {
+	case !c.dirty:
+		return 0, false
+	case c.starts > 0:
+		// The starts of a cancelled job are about to be taken back, unsent.
+		return keyStart + j.Spec.Rank(), !j.Cancelled
+	case waited >= overdue:
+		return keyOverdue, true
+	default:
+		return keyLazy, waited >= lazy
+	}
+}
+
+// NextBatch builds the most urgent changes into one transaction of at most
+// maxOps changes, fenced by the leader's term, or returns nil. What can wait is
+// left out once there are spareOps, and what is larger than the state service takes for
+// as long as it is. One batch is in flight at a time.
+func (b *Jobs) NextBatch(fence statestore.Cond, maxOps, spareOps, valueBytes int, now time.Time) *Batch {
+	if bt := b.nextLayout(fence, maxOps, valueBytes); bt != nil {
+		return bt
+	}
+	candidates := b.candidates(now)
+	if len(candidates) == 0 || maxOps < 1 {
 		return nil
 	}
-	sort.Slice(cands, func(x, y int) bool {
-		a, b := cands[x], cands[y]
-		if a.key != b.key {
-			return a.key > b.key
-		}
-		if a.weight != b.weight {
-			return a.weight > b.weight
-		}
-		if a.j.Arrival != b.j.Arrival {
-			return a.j.Arrival < b.j.Arrival
-		}
-		return a.c != nil && b.c != nil && a.c.n < b.c.n
-	})
+	slices.SortFunc(candidates, candidate.compare)
 	out := &Batch{Conds: []statestore.Cond{fence}}
-	size := 0
-	for _, k := range cands {
-		if len(out.Ops) >= maxOps || size > maxBatch || k.key < keyOverdue && len(out.Ops) >= spareOps {
+	for _, k := range candidates {
+		if len(out.Ops) >= maxOps || out.size > maxBatch || k.urgency < keyOverdue && len(out.Ops) >= spareOps {
 			break
 		}
-		if k.c == nil && k.key >= keyOverdue && maxOps-len(out.Ops) < 2 {
+		if k.c == nil && k.urgency >= keyOverdue && maxOps-len(out.Ops) < endOps {
 			break // less urgent changes would use up what it waits for
 		}
 		if k.c == nil {
 			out.addEnd(k.j, maxOps, spareOps)
-			size += 200
 			continue
 		}
-		v := k.j.chunkValue(k.c.n)
-		if v.size() > valueBytes {
-			continue // laid out for larger values: it fits once enough of its tasks have ended
-		}
-		value := wire.Marshal(v)
-		if size += len(value) + 200; size > maxBatch && len(out.Ops) > 0 {
+		if !out.addChunk(k.j, k.c, valueBytes, b.ends) {
 			break
 		}
-		w := chunkWrite{j: k.j, c: k.c, ends: b.ends}
-		key := k.j.key(k.c.n)
-		out.Conds = append(out.Conds, statestore.Cond{Key: key, Rev: k.c.rev})
-		if k.c.starts > 0 {
-			// A start is only recorded while its job is not cancelled.
-			out.Conds = append(out.Conds, statestore.Cond{Key: JobKey(k.j.Spec.ID), Rev: k.j.Rev})
-			first := k.c.n * k.j.record.Chunk
-			for t := first; t < first+k.j.record.Chunk; t++ {
-				if a := k.j.live[t]; a != nil && !a.Recorded {
-					w.starts = append(w.starts, a)
-				}
-			}
-		}
-		out.Ops = append(out.Ops, statestore.Op{Put: key, Value: value})
-		out.chunks = append(out.chunks, w)
-		k.c.dirty, k.c.starts = false, 0 // set again by changes while it is in flight
 	}
 	if len(out.Ops) == 0 {
 		return nil
@@ -166,11 +163,54 @@
 	return out
 }
 
+// opBytes is about what a change takes of a transaction beside its value.
+const opBytes = 200
+
+// addChunk adds what is to be stored of a chunk, and returns false if the transaction is
+// full. A chunk that was laid out for larger values is left out: it fits once enough of its
+// tasks have ended.
+func (out *Batch) addChunk(j *Job, c *chunk, valueBytes int, ends uint64) bool {
+	v := j.chunkValue(c.n)
+	if v.size() > valueBytes {
+		return true
+	}
+	value := wire.Marshal(v)
+	if out.size += len(value) + opBytes; out.size > maxBatch && len(out.Ops) > 0 {
+		return false
+	}
+	key := j.key(c.n)
+	out.Conds = append(out.Conds, statestore.Cond{Key: key, Rev: c.rev})
+	w := chunkWrite{j: j, c: c, ends: ends}
+	if c.starts > 0 {
+		// A start is only recorded while its job is not cancelled.
+		out.Conds = append(out.Conds, statestore.Cond{Key: JobKey(j.Spec.ID), Rev: j.Rev})
+		w.starts = j.unrecordedIn(c)
+	}
+	out.Ops = append(out.Ops, statestore.Op{Put: key, Value: value})
+	out.chunks = append(out.chunks, w)
+	c.dirty, c.starts = false, 0 // set again by changes while it is in flight
+	return true
+}
+
+// unrecordedIn returns the attempts of a chunk's tasks that are not recorded, by task.
+func (j *Job) unrecordedIn(c *chunk) (out []*Attempt) {
+	first := c.n * j.record.Chunk
+	for t := first; t < first+j.record.Chunk; t++ {
+		if a := j.live[t]; a != nil && !a.Recorded {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// endOps is the least number of changes that the end of a job takes.
+const endOps = 2
+
 // addEnd adds the end of a job. Its chunks go with it if that does not hold up others:
 // of the five changes that a job of one task costs the fifth can wait.
 func (out *Batch) addEnd(j *Job, maxOps, spareOps int) {
-	room := maxOps - len(out.Ops)
-	if room < 2 {
+	out.size += opBytes
+	if maxOps-len(out.Ops) < endOps {
 		return
 	}
 	status := Done
