--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -31,10 +31,7 @@
 	// waited behind arrays of lower priority until its gaps came, which thin spread makes late
 	// (rush-forecast waited for 17 s and more where 3 s is the aim). What is free counts as
 	// room that costs nothing.
-	if j.Urgent && p.inBestZone(j, zones, func(zone int) trial {
-		made, lost := p.preempt(i, j, j.Waiting, zone, false)
-		return trial{whole: made == j.Waiting, cost: lost}
-	}) {
+	if j.Urgent && p.inBestZone(j, zones, func(zone int) trial { return p.tryPreempt(i, j, zone) }) {
 		return
 	}
 	p.hold(j, zones)
@@ -93,6 +90,28 @@
 	return t
 }
 
+// stopKind is what decides for how many tasks of a gang others can be stopped in a zone.
+type stopKind struct {
+	kind
+	priority int
+	displace bool
+}
+
+// tryPreempt makes room for as much of a gang as it can in a zone, its team's limit leaving
+// room for all of it.
+func (p *planner) tryPreempt(i int, j *Job, zone int) trial {
+	k, plain := j.gangKind(zone)
+	key := stopKind{k, j.Priority, j.Displace}
+	if least, known := p.unstoppable[key]; plain && known && j.Waiting >= least {
+		return trial{}
+	}
+	made, lost := p.preempt(i, j, j.Waiting, zone, false)
+	if plain && made < j.Waiting {
+		p.unstoppable[key] = j.Waiting // what may be stopped only shrinks within a pass
+	}
+	return trial{whole: made == j.Waiting, cost: lost}
+}
+
 // savepoint is what a pass was like when a try began: all that tries change, and of machines
 // just those that this one does.
 type savepoint struct {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -19,10 +19,12 @@
 	own     []bool             // machines whose tasks are this pass's own copy
 	ends    [][]ending         // of the tasks by machine; nil: not yet worked out
 	short   map[kind]int       // least number of a gang's tasks for which there is no room
-	gaps    map[kind]gapList   // room for gangs' tasks as others end
-	changes int                // of machines so far, those rolled back left out
-	saved   *savepoint         // of the try under way; nil: of none
-	starved []*Job             // that wait for a machine, stop nothing for it, and come before the rest
+	// Least number of a gang's tasks for which others cannot be stopped.
+	unstoppable map[stopKind]int
+	gaps        map[kind]gapList // room for gangs' tasks as others end
+	changes     int              // of machines so far, those rolled back left out
+	saved       *savepoint       // of the try under way; nil: of none
+	starved     []*Job           // that wait for a machine, stop nothing for it, and come before the rest
 }
 
 // kind is what decides which machines fit a task whose job has no tasks tied to
@@ -94,7 +96,7 @@
 func newPlanner(now time.Time, machines []Machine, teams []Team, jobs int) *planner {
 	return &planner{now: now, machines: machines, teams: teams, out: Plan{Starved: make([]int, jobs)},
 		full: map[kind]bool{}, victims: map[claim][]victim{}, own: make([]bool, len(machines)), ends: make([][]ending, len(machines)),
-		short: map[kind]int{}, gaps: map[kind]gapList{}}
+		short: map[kind]int{}, unstoppable: map[stopKind]int{}, gaps: map[kind]gapList{}}
 }
 
 // order returns the positions of the jobs in the order in which they are placed.
