Name what limits a choice of machines, and make passes and sizing of steps

fill and preempt took positional booleans and -1 for any zone; Gone took one for how it was learnt. Jobs whose tasks are tied by zone, or that avoid machines, look through the machines once for the job as others do, not once for a task: what no longer fits is passed over, and the best machine stays the best until it is full (TestPlaceLikePlain).

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -399,7 +399,7 @@
 
 func (l *leader) onChange(e *statestore.Event) {
 	if id, chunk, ok := ledger.SplitKey(e.Delete); e.Delete != "" && ok && chunk < 0 {
-		if j := l.jobs.Gone(id, true); j != nil {
+		if j := l.jobs.SawDeleted(id); j != nil {
 			l.ended(j)
 		}
 		return
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -328,13 +328,18 @@
 	return n.types.Load() != nil && (n.store.Served(readyServed) || n.peers.NobodyServed(readyHeard))
 }
 
+// redirection is the body of an answer that sends a worker to another node.
+type redirection struct {
+	Leader string `cbor:"foreman,omitempty"` // empty: none is known
+}
+
 // redirect sends a worker to the leader, if another node is known to lead.
 func (n *Node) redirect() wire.Response {
 	leader, _ := n.candidate.Leader()
 	if leader == "" || leader == n.settings.Node {
-		return wire.Response{Status: 421, Body: wire.Marshal(map[string]any{})}
+		return wire.Response{Status: 421, Body: wire.Marshal(redirection{})}
 	}
-	return wire.Response{Status: 421, Body: wire.Marshal(map[string]string{"foreman": leader})}
+	return wire.Response{Status: 421, Body: wire.Marshal(redirection{Leader: leader})}
 }
 
 // Times of answering for a leader: how recently the state service must have named the leader,
@@ -408,7 +413,7 @@
 func (n *Node) report(ctx context.Context, body []byte) wire.Response {
 	var r fleet.Report
 	if err := wire.Unmarshal(body, &r); err != nil || r.Machine == "" || r.Session == 0 {
-		return wire.Response{Status: 400, Body: wire.Marshal(map[string]string{"error": fmt.Sprint("malformed report: ", err)})}
+		return wire.Response{Status: 400, Body: wire.Marshal(wire.Problem{Error: fmt.Sprint("malformed report: ", err)})}
 	}
 	n.guard.observe(&r)
 	l := n.leader.Load()
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -166,56 +168,85 @@
 // others: half of the four minutes that the users allow.
 const beginBy = 2 * time.Minute
 
+// pass makes one placement pass over all waiting jobs.
 func (l *leader) pass(now time.Time) {
-	var waiting []*ledger.Job
-	l.jobs.Jobs(func(j *ledger.Job) {
-		// A gang starts anew only once all of it is gone: a part would wait in vain.
-		parted := j.Gang() && j.LiveTasks() > 0
-		if j.WaitingTasks() > 0 && !parted && l.jobStates[j].team >= 0 && !now.Before(l.jobStates[j].notBefore) {
-			waiting = append(waiting, j)
-		}
-	})
 	l.unplaced = 0
+	waiting := l.waitingJobs(now)
 	if len(waiting) == 0 {
 		return
 	}
-	sort.Slice(waiting, func(x, y int) bool { return waiting[x].Arrival < waiting[y].Arrival })
 	machines := make([]placement.Machine, l.fleet.Size())
-	held := make([][]*fleet.Assignment, len(machines))
+	assigned := make([][]*fleet.Assignment, len(machines))
 	for i := range machines {
-		machines[i], held[i] = l.view(l.fleet.At(i), now)
+		machines[i], assigned[i] = l.view(l.fleet.At(i), now)
+	}
+	jobs := l.jobViews(waiting, now)
+	plan := placement.Place(now, machines, append(jobs, l.gangsToCome(now, jobs)...), l.teams())
+	l.startAssigned(plan.Assign, waiting, now)
+	l.stopPreempted(plan.Stops, waiting, assigned, now)
+	for _, n := range plan.Starved[:len(waiting)] {
+		l.unplaced += n
 	}
+}
+
+// waitingJobs returns the jobs of which tasks may start, by arrival.
+func (l *leader) waitingJobs(now time.Time) (waiting []*ledger.Job) {
+	l.jobs.Jobs(func(j *ledger.Job) {
+		// A gang starts anew only once all of it is gone: a part would wait in vain.
+		parted := j.Gang() && j.LiveTasks() > 0
+		if j.WaitingTasks() > 0 && !parted && l.jobStates[j].team >= 0 && !now.Before(l.jobStates[j].notBefore) {
+			waiting = append(waiting, j)
+		}
+	})
+	slices.SortFunc(waiting, func(a, b *ledger.Job) int { return cmp.Compare(a.Arrival, b.Arrival) })
+	return waiting
+}
+
+// jobViews returns jobs as placement sees them.
+func (l *leader) jobViews(waiting []*ledger.Job, now time.Time) []placement.Job {
 	jobs := make([]placement.Job, len(waiting))
 	images := map[string][]placement.Image{}
 	beyond := l.beyond()
-	late := beginBy
-	if !l.gangs.Empty() {
-		late /= 2 // room kept for gangs keeps no job waiting for long
-	}
 	for i, j := range waiting {
-		st := l.jobStates[j]
-		s := j.Spec
-		jobs[i] = placement.Job{Team: st.team, Priority: l.priority(j), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
-			Waiting: l.wanted(j), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
-			Gang: j.Gang(), Tasks: s.Tasks,
-			Urgent: s.Shape != job.Array, Displace: l.displaces(j, now) && !beyond[j], Overdue: now.Sub(j.At) > late && j.LiveTasks() == 0 && j.DoneTasks() == 0, Avoid: l.avoid(st)}
-		jobs[i].Image, jobs[i].Costly = l.images(j, images)
+		st, s := l.jobStates[j], j.Spec
+		v := placement.Job{
+			Team: st.team, Priority: l.priority(j), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j],
+			Need: st.need, Waiting: l.wanted(j), Tasks: s.Tasks, Gang: j.Gang(),
+			Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart, Avoid: l.avoid(st),
+			Urgent: s.Shape != job.Array, Displace: l.displaces(j, now) && !beyond[j], Overdue: l.overdue(j, now),
+		}
+		v.Image, v.Costly = l.images(j, images)
 		var known bool
-		if jobs[i].InZone, known = l.inZones(j); !known && (s.OneZone || s.Apart) {
-			jobs[i].Waiting = 0
+		if v.InZone, known = l.inZones(j); !known && (s.OneZone || s.Apart) {
+			v.Waiting = 0
 		}
+		jobs[i] = v
 	}
-	plan := placement.Place(now, machines, append(jobs, l.gangsToCome(now, jobs)...), l.teams())
+	return jobs
+}
+
+// overdue tells whether a job has waited too long with none of its tasks begun.
+func (l *leader) overdue(j *ledger.Job, now time.Time) bool {
+	late := beginBy
+	if !l.gangs.Empty() {
+		late /= 2 // room kept for gangs keeps no job waiting for long
+	}
+	return now.Sub(j.At) > late && j.LiveTasks() == 0 && j.DoneTasks() == 0
+}
+
+// startAssigned books the attempts that a pass has placed; they are sent once they are
+// recorded. The tasks of a gang share one number.
+func (l *leader) startAssigned(assigned []placement.Assignment, waiting []*ledger.Job, now time.Time) {
 	next := make([]int, len(waiting))
 	tries := make([]uint64, len(waiting))
-	for _, a := range plan.Assign {
+	for _, a := range assigned {
 		j, m := waiting[a.Job], l.fleet.At(a.Machine)
 		task := j.NextStartable(next[a.Job], int(l.node.valueBytes.Load()))
 		if task < 0 {
 			continue // the state service has shown meanwhile that it takes less
 		}
 		next[a.Job] = task + 1
-		if tries[a.Job] == 0 || !jobs[a.Job].Gang {
+		if tries[a.Job] == 0 || !j.Gang() {
 			tries[a.Job] = l.jobs.NextTry(l.term.Number())
 		}
 		h := m.Assign(l.jobs.Start(j, task, tries[a.Job], m.Name, m.Session, now), now)
@@ -226,8 +257,12 @@
 		}
 		slog.Debug("attempt placed", "task", h.Name(), "try", h.Try, "machine", m.Name)
 	}
-	for _, s := range plan.Stops {
-		h := held[s.Machine][s.Task]
+}
+
+// stopPreempted stops the tasks that give way to others.
+func (l *leader) stopPreempted(stops []placement.Stop, waiting []*ledger.Job, assigned [][]*fleet.Assignment, now time.Time) {
+	for _, s := range stops {
+		h := assigned[s.Machine][s.Task]
 		slog.Info("task preempted", "task", h.Name(), "machine", h.Machine, "for", waiting[s.For].Spec.ID)
 		if h.Job.Gang() {
 			l.stopGang(h.Job, now)
@@ -235,9 +270,6 @@
 		}
 		l.fleet.At(s.Machine).Stop(h, h.Job.Spec.SaveS)
 	}
-	for _, n := range plan.Starved[:len(waiting)] {
-		l.unplaced += n
-	}
 }
 
 // startShare is the part of a class's start aim, one in so many, that a fetch may take
--- a/internal/controller/sizing.go
+++ b/internal/controller/sizing.go
@@ -1,10 +1,11 @@
 package controller
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"tulipshelf/internal/config"
@@ -17,71 +18,31 @@
 
 // demand returns the tasks that should get a machine soon, the most important
 // first, and behind them the reserve, and says why. Running tasks are left out.
-func (l *leader) demand(now time.Time) (out []rental.Demand, why string) {
-	used := l.teams()
-	var whole, arrays []*ledger.Job
-	l.jobs.Jobs(func(j *ledger.Job) {
-		switch {
-		case l.jobStates[j].team < 0 || j.WaitingTasks() == 0:
-		case j.Spec.Shape == job.Array:
-			arrays = append(arrays, j)
-		default:
-			whole = append(whole, j)
-		}
-	})
-	byImportance := func(jobs []*ledger.Job) {
-		sort.Slice(jobs, func(x, y int) bool {
-			a, b := jobs[x], jobs[y]
-			if a.Spec.Rank() != b.Spec.Rank() {
-				return a.Spec.Rank() > b.Spec.Rank()
-			}
-			return a.Arrival < b.Arrival
-		})
-	}
-	byImportance(whole)
-	byImportance(arrays)
-	add := func(j *ledger.Job, n int) int {
-		st := l.jobStates[j]
-		team := &used[st.team]
-		n = within(n, team.CPUsMax-team.CPUsUsed, j.Spec.CPUs)
-		n = within(n, team.GPUsMax-team.GPUsUsed, j.Spec.GPUs)
-		if n == 0 {
-			return 0
-		}
-		team.CPUsUsed += float64(n) * j.Spec.CPUs
-		team.GPUsUsed += float64(n) * j.Spec.GPUs
-		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: st.zone, Spot: j.Spec.Spot, OneZone: j.Gang() && j.Spec.OneZone, Tasks: n})
-		return n
-	}
+func (l *leader) demand(now time.Time) ([]rental.Demand, string) {
+	d := &demandList{l: l, teams: l.teams()}
+	whole, arrays := l.byImportance()
 	for _, j := range whole {
-		switch team := &used[l.jobStates[j].team]; {
-		case j.Gang() && j.LiveTasks() > 0:
-			// It starts anew where it was, or as a whole later.
-		case j.Gang() && within(j.Spec.Tasks, team.CPUsMax-team.CPUsUsed, j.Spec.CPUs) < j.Spec.Tasks:
-			// A part of it is of no use.
-		default:
-			add(j, l.wanted(j))
-		}
+		d.addWhole(j)
 	}
 	reserved := 0
-	for _, d := range append(l.reserve(), l.gangReserve(now)...) {
-		reserved += d.Tasks
-		out = append(out, d)
+	for _, r := range append(l.reserve(), l.gangReserve(now)...) {
+		reserved += r.Tasks
+		d.out = append(d.out, r)
 	}
 	// Arrays share what they need together: their tasks take turns on a machine.
 	taken := 0.0
-	for _, d := range out {
-		taken += float64(d.Tasks) * d.Need[placement.CPU]
+	for _, x := range d.out {
+		taken += float64(x.Tasks) * x.Need[placement.CPU]
 	}
-	turns, usual := l.arrayCPUs(taken, used, now)
-	why = fmt.Sprintf("%d tasks without room, %.0f CPUs more for arrays, room for %d of services to come",
+	turns, usual := l.arrayCPUs(taken, d.teams, now)
+	why := fmt.Sprintf("%d tasks without room, %.0f CPUs more for arrays, room for %d of services to come",
 		l.unplaced, math.Max(0, turns), reserved)
 	for _, j := range arrays {
 		if turns <= 0 {
 			break
 		}
 		each := size(l.jobStates[j].need)
-		n := float64(add(j, min(l.wanted(j), int(math.Ceil(turns/each)))))
+		n := float64(d.add(j, min(l.wanted(j), int(math.Ceil(turns/each)))))
 		turns -= n * each
 		usual -= n * each
 	}
@@ -90,9 +51,65 @@
 	// stood free for tasks that were not allowed to start).
 	if usual > 0 && l.lastArray != nil {
 		st := l.lastArray
-		out = append(out, rental.Demand{Need: st.need, Types: st.types, Zone: -1, Spot: true, Tasks: int(usual/size(st.need) + 0.5)})
+		d.out = append(d.out, rental.Demand{Need: st.need, Types: st.types, Zone: -1, Spot: true, Tasks: int(usual/size(st.need) + 0.5)})
+	}
+	return d.out, why
+}
+
+// byImportance returns the jobs that wait for machines, the most important first: services
+// and gangs, which start whole, and arrays.
+func (l *leader) byImportance() (whole, arrays []*ledger.Job) {
+	l.jobs.Jobs(func(j *ledger.Job) {
+		switch {
+		case l.jobStates[j].team < 0 || j.WaitingTasks() == 0:
+		case j.Spec.Shape == job.Array:
+			arrays = append(arrays, j)
+		default:
+			whole = append(whole, j)
+		}
+	})
+	compare := func(a, b *ledger.Job) int {
+		return cmp.Or(b.Spec.Rank()-a.Spec.Rank(), cmp.Compare(a.Arrival, b.Arrival))
+	}
+	slices.SortFunc(whole, compare)
+	slices.SortFunc(arrays, compare)
+	return whole, arrays
+}
+
+// demandList is demand as it is put together, with what it takes of the teams' limits.
+type demandList struct {
+	l     *leader
+	teams []placement.Team
+	out   []rental.Demand
+}
+
+// add adds up to n tasks of a job, as far as its team's limit has room, and returns how many.
+func (d *demandList) add(j *ledger.Job, n int) int {
+	st := d.l.jobStates[j]
+	team := &d.teams[st.team]
+	n = within(n, team.CPUsMax-team.CPUsUsed, j.Spec.CPUs)
+	n = within(n, team.GPUsMax-team.GPUsUsed, j.Spec.GPUs)
+	if n == 0 {
+		return 0
+	}
+	team.CPUsUsed += float64(n) * j.Spec.CPUs
+	team.GPUsUsed += float64(n) * j.Spec.GPUs
+	d.out = append(d.out, rental.Demand{Need: st.need, Types: st.types, Zone: st.zone, Spot: j.Spec.Spot, OneZone: j.Gang() && j.Spec.OneZone, Tasks: n})
+	return n
+}
+
+// addWhole adds a service, or a gang of which nothing is left on machines and which its team's
+// limit has room for.
+func (d *demandList) addWhole(j *ledger.Job) {
+	team := &d.teams[d.l.jobStates[j].team]
+	switch {
+	case j.Gang() && j.LiveTasks() > 0:
+		// It starts anew where it was, or as a whole later.
+	case j.Gang() && within(j.Spec.Tasks, team.CPUsMax-team.CPUsUsed, j.Spec.CPUs) < j.Spec.Tasks:
+		// A part of it is of no use.
+	default:
+		d.add(j, d.l.wanted(j))
 	}
-	return out, why
 }
 
 // within returns how many of n tasks that take so much each fit into some room, which
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -96,7 +96,7 @@
 	case exists:
 		l.onJob(it.Value, it.Rev)
 	default:
-		if j := l.jobs.Gone(id, false); j != nil {
+		if j := l.jobs.FoundDeleted(id); j != nil {
 			l.ended(j)
 		}
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -70,13 +70,9 @@
 	Status string `cbor:"status"`
 }
 
-type problem struct {
-	Error string `cbor:"error"`
-}
-
 func fail(code int, text string) wire.Response {
 	slog.Debug("request refused", "status", code, "why", text)
-	return wire.Response{Status: code, Body: wire.Marshal(problem{text})}
+	return wire.Response{Status: code, Body: wire.Marshal(wire.Problem{Error: text})}
 }
 
 // later is the answer to whatever cannot be decided now: at once, with the time
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -315,16 +315,23 @@
 	}
 }
 
-// Gone drops a job whose record is found deleted, here or by the watch: its end
-// was recorded, by a transaction that had no answer. Whether that deleted all of the job's
-// chunks is not known, so their deletion is left to OrphanOps; otherwise they stayed until
-// another leader read the records (TestLimitsLoweredUnderLoad).
-func (b *Jobs) Gone(id string, byWatch bool) *Job {
-	if byWatch {
-		delete(b.ended, id)
-	} else {
-		b.ended[id] = struct{}{}
-	}
+// FoundDeleted drops a job whose record a read has found deleted: its end was recorded, by a
+// transaction that had no answer. The watch has yet to tell of it.
+func (b *Jobs) FoundDeleted(id string) *Job {
+	b.ended[id] = struct{}{}
+	return b.dropEnded(id)
+}
+
+// SawDeleted drops a job of whose record's deletion the watch tells.
+func (b *Jobs) SawDeleted(id string) *Job {
+	delete(b.ended, id)
+	return b.dropEnded(id)
+}
+
+// dropEnded drops a job that has ended. Whether all of its chunks were deleted with it is not
+// known, so their deletion is left to OrphanOps; otherwise they stayed until another leader
+// read the records (TestLimitsLoweredUnderLoad).
+func (b *Jobs) dropEnded(id string) *Job {
 	j := b.drop(id)
 	if j != nil {
 		j.leaveChunks()
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -345,7 +345,7 @@
 	if end == nil || end.Ops[0].Put != "end/wk-000001" {
 		t.Fatalf("end is not recorded: %+v", end)
 	}
-	b.Gone("wk-000001", true)
+	b.SawDeleted("wk-000001")
 	put(t, b, "wk-000001", 1, true, 10)
 	if _, ended := b.Committed(end, 11); len(ended) != 2 || b.Len() != 0 {
 		t.Errorf("%d jobs told as ended, %d left", len(ended), b.Len())
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -105,7 +105,7 @@
 	if least, known := p.unstoppable[key]; plain && known && j.Waiting >= least {
 		return trial{}
 	}
-	made, lost := p.preempt(i, j, j.Waiting, zone, false)
+	made, lost := p.preempt(i, j, j.Waiting, choice{zone: zone})
 	if plain && made < j.Waiting {
 		p.unstoppable[key] = j.Waiting // what may be stopped only shrinks within a pass
 	}
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -25,7 +25,7 @@
 			}
 			for made := 1; made > 0 && n < j.Waiting; n += made {
 				clear(p.victims)
-				made, _ = p.preempt(i, j, 1, -1, true)
+				made, _ = p.preempt(i, j, 1, warmOnly)
 			}
 		}
 		for ; n < j.Waiting && p.teams[j.Team].room(j.Need); n++ {
@@ -41,7 +41,7 @@
 		}
 		for ; (j.Urgent || j.Displace) && n < j.Waiting; n++ {
 			clear(p.victims)
-			p.preempt(i, j, 1, -1, false)
+			p.preempt(i, j, 1, anywhere)
 		}
 	}
 	return p.out
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -7,6 +7,17 @@
 	"time"
 )
 
+// choice limits the machines that are looked at for a job.
+type choice struct {
+	zone int  // -1: any
+	warm bool // only those that have the job's image
+}
+
+var (
+	anywhere = choice{zone: -1}
+	warmOnly = choice{zone: -1, warm: true}
+)
+
 // planner is the state of one pass.
 type planner struct {
 	now      time.Time
@@ -72,11 +83,11 @@
 		}
 		left := j.Waiting
 		if j.Urgent && j.Costly {
-			left -= p.fill(i, j, left, true)
-			made, _ := p.preempt(i, j, left, -1, true)
+			left -= p.fill(i, j, left, warmOnly)
+			made, _ := p.preempt(i, j, left, warmOnly)
 			left -= made
 		}
-		left -= p.fill(i, j, left, false)
+		left -= p.fill(i, j, left, anywhere)
 		if left == 0 {
 			continue
 		}
@@ -87,7 +98,7 @@
 			}
 		}
 		if j.Urgent || j.Displace {
-			p.preempt(i, j, left, -1, false)
+			p.preempt(i, j, left, anywhere)
 		}
 	}
 	return p.out
@@ -145,40 +156,29 @@
 	}
 	sort.Slice(late, func(x, y int) bool { return jobs[late[x]].Arrival < jobs[late[y]].Arrival })
 	for _, i := range late {
-		jobs[i].Waiting -= p.fill(i, &jobs[i], 1, false)
+		jobs[i].Waiting -= p.fill(i, &jobs[i], 1, anywhere)
 	}
 }
 
 // fill places up to most tasks of a job, as far as the team and the machines have
 // room, and returns how many. The index does not change within a pass, so the machine
 // that is best for one task is best for the next until it is full: the machines
-// are looked through once for a job, not once for a task. warm leaves out machines
-// that do not have the job's image.
-func (p *planner) fill(i int, j *Job, most int, warm bool) (n int) {
+// are looked through once for a job, not once for a task.
+func (p *planner) fill(i int, j *Job, most int, on choice) (n int) {
 	k, plain := j.kind()
-	if !plain {
-		for n < most && p.teams[j.Team].room(j.Need) {
-			m := p.best(j, -1)
-			if m < 0 || warm && p.rank(j, m) > 0 {
-				break
-			}
-			p.assign(i, j, m)
-			n++
-		}
-		return n
-	}
-	if p.full[k] || !p.teams[j.Team].room(j.Need) {
+	if plain && p.full[k] || !p.teams[j.Team].room(j.Need) {
 		return 0
 	}
 	fit := make([]int, 0, len(p.machines))
 	for m := range p.machines {
-		if p.fits(j, m, -1) && (!warm || p.rank(j, m) == 0) {
+		if p.fits(j, m, on.zone) && (!on.warm || p.rank(j, m) == 0) {
 			fit = append(fit, m)
 		}
 	}
 	slices.SortFunc(fit, func(a, b int) int { return p.compare(j, a, b) })
 	for _, m := range fit {
-		for p.machines[m].Free.Fits(j.Need) {
+		// Where the job's tasks are tied to each other by zone, some no longer fit.
+		for p.fits(j, m, on.zone) {
 			if n == most || !p.teams[j.Team].room(j.Need) {
 				return n
 			}
@@ -186,7 +186,7 @@
 			n++
 		}
 	}
-	if !warm {
+	if plain && on == anywhere {
 		p.full[k] = n < most // room only shrinks within a pass
 	}
 	return n
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -24,14 +24,13 @@
 // way to it on the one machine where that loses the least run time, among those that
 // have the image or will have it soonest: the fetch would cost a service its start
 // aim, and more than the tasks lose. Where the
-// team is at its limit the tasks stopped are its own. only, if not negative, names the
-// zone; warm leaves out machines that do not have the image. It returns for how many tasks
+// team is at its limit the tasks stopped are its own. It returns for how many tasks
 // room is made, and the run time that this loses.
-func (p *planner) preempt(i int, j *Job, n, only int, warm bool) (made int, lost float64) {
+func (p *planner) preempt(i int, j *Job, n int, on choice) (made int, lost float64) {
 	team := &p.teams[j.Team]
 	var open []int // machines on which tasks may be stopped
 	for k := range p.machines {
-		if p.machines[k].Open && !j.avoids(k) && (only < 0 || p.machines[k].Zone == only) && !(warm && p.rank(j, k) > 0) && !(j.Urgent && p.promised(k)) {
+		if p.machines[k].Open && !j.avoids(k) && (on.zone < 0 || p.machines[k].Zone == on.zone) && !(on.warm && p.rank(j, k) > 0) && !(j.Urgent && p.promised(k)) {
 			open = append(open, k)
 		}
 	}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -36,6 +36,11 @@
 	return m
 }
 
+// Problem is the body of an answer that refuses a request.
+type Problem struct {
+	Error string `cbor:"error"`
+}
+
 // Marshal encodes v as CBOR. It panics on a type that cannot be encoded, which
 // only a mistake in this program can bring about.
 func Marshal(v any) []byte {
