Let one gang of each team start before others' guaranteed work

Excluded: elections, lower limits of the state service, the cloud, the room kept for gangs.

Change: of each team the gang that has waited longest is not put behind for that.

--- a/internal/controller/gang_test.go
+++ b/internal/controller/gang_test.go
@@ -437,3 +437,31 @@
 		}
 	})
 }
+
+// Gangs of a team that is beyond its guarantee begin while arrays within another team's fill
+// all machines, one after the other; what is guaranteed waits for no more than that.
+func TestGangBeyondGuarantee(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.large()
+		c.runService(10) // more than is guaranteed
+		for i := range 4 {
+			m := submission(jobID(100+i), job.Array, 250, 20)
+			m["crew"] = "others"
+			c.accept(10*time.Second, 0, m)
+		}
+		c.until("all machines are full", time.Minute, func() bool { return c.referee.On() == 96 })
+		for i := range 3 {
+			m := gang(8, 10)
+			m["uid"] = jobID(500 + i)
+			c.accept(10*time.Second, i, m)
+		}
+		begin := time.Now()
+		c.until("the gangs begin", time.Minute, func() bool { return c.cloud.Gangs.Counted().Began == 3 })
+		if c.begun(jobID(103)) == 250 {
+			t.Errorf("the arrays were over after %v", time.Since(begin))
+		}
+		for i := range 4 {
+			c.until("array done", 5*time.Minute, c.done(jobID(100+i)))
+		}
+	})
+}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -206,11 +206,11 @@
 func (l *leader) jobViews(waiting []*ledger.Job, now time.Time) []placement.Job {
 	jobs := make([]placement.Job, len(waiting))
 	images := map[string][]placement.Image{}
-	beyond := l.beyond()
+	beyond, first := l.beyond(), l.firstGangs(waiting)
 	for i, j := range waiting {
 		st, s := l.jobStates[j], j.Spec
 		v := placement.Job{
-			Team: st.team, Priority: l.priority(j), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j],
+			Team: st.team, Priority: l.priority(j), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j] && !first[j],
 			Need: st.need, Waiting: l.wanted(j), Tasks: s.Tasks, Gang: j.Gang(),
 			Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart, Avoid: l.avoid(st),
 			Urgent: s.Shape != job.Array, Displace: l.displaces(j, now) && !beyond[j], Overdue: l.overdue(j, now),
@@ -225,6 +225,23 @@
 	return jobs
 }
 
+// firstGangs returns the gang of each team that has waited longest.
+//
+// Exception to the exception that work within a guarantee goes first: one waiting gang of each
+// team is not behind it. It guards against gangs that wait for as long as arrays within their
+// teams' guarantees come, which take each gap, while a gang needs all of its gaps at once
+// (inc-82e5, TestGangBeyondGuarantee).
+func (l *leader) firstGangs(waiting []*ledger.Job) map[*ledger.Job]bool {
+	first := map[*ledger.Job]bool{}
+	seen := map[int]bool{}
+	for _, j := range waiting {
+		if team := l.jobStates[j].team; j.Gang() && !seen[team] {
+			seen[team], first[j] = true, true
+		}
+	}
+	return first
+}
+
 // overdue tells whether a job has waited too long with none of its tasks begun.
 func (l *leader) overdue(j *ledger.Job, now time.Time) bool {
 	late := beginBy
