--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -160,7 +160,7 @@
 	s := &config.Settings{Node: nodeName(i), Zone: c.zones[i%len(c.zones)], Listen: nodeAddr(i), PeerListen: peerAddr(i),
 		CloudAddr: cloudAddr, StateAddr: stateAddr, Zones: c.zones,
 		Teams: []config.Team{{Name: "crew", CPUs: 8, CPUsMax: c.limit, GPUsMax: math.Inf(1)}, {Name: "guests", CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)},
-			{Name: "others", CPUs: 1000, CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}},
+			{Name: "neighbours", CPUs: 1000, CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}},
 		Workers:   config.Workers{Report: 3 * time.Second, Lease: 26 * time.Second, Cancel: 51 * time.Second, GangWait: 45 * time.Second, GangPeer: 4 * time.Second},
 		State:     config.State{RPS: c.rps, WriteRPS: 60, ValueBytes: 8 << 10, TxnOps: 8, Next: c.next},
 		Cloud:     config.Cloud{RPS: 5, ListLag: 2 * time.Second},
--- a/internal/controller/gang_test.go
+++ b/internal/controller/gang_test.go
@@ -446,7 +446,7 @@
 		c.runService(10) // more than is guaranteed
 		for i := range 4 {
 			m := submission(jobID(100+i), job.Array, 250, 20)
-			m["crew"] = "others"
+			m["crew"] = "neighbours"
 			c.accept(10*time.Second, 0, m)
 		}
 		c.until("all machines are full", time.Minute, func() bool { return c.referee.On() == 96 })
