--- a/internal/controller/upgrade_test.go
+++ b/internal/controller/upgrade_test.go
@@ -235,7 +235,7 @@
 		if err := wire.Unmarshal(value, &decoded); err != nil {
 			t.Fatal(key, err)
 		}
-		form := numbers.ReplaceAllString(key, "#")
+		form := keyForm(key)
 		fields[form] = true
 		fieldsOf(decoded, form, fields)
 	}
