--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -39,8 +39,8 @@
 	CPUs, CPUsMax, GPUs, GPUsMax float64
 }
 
-// Guest tells whether the team has no guarantee: it uses what others leave.
-func (t *Team) Guest() bool { return t.CPUs == 0 && t.GPUs == 0 }
+// Opportunistic tells whether the team has no guarantee: it uses what others leave.
+func (t *Team) Opportunistic() bool { return t.CPUs == 0 && t.GPUs == 0 }
 
 // Objective restates one aim at start or at finish.
 type Objective struct {
@@ -284,7 +284,7 @@
 }
 
 // limit reads a limit, of which 0 means that there is none (DEPLOY-tulipshelf.md). It
-// guards against a guest team of which every job was refused as beyond a limit of 0
+// guards against a team without a guarantee of which every job was refused as beyond a limit of 0
 // (inc-c8e5, inc-bc39).
 func (o object) limit(name string) float64 {
 	if f := o.optional(name, 0, 1e9); f > 0 {
--- a/internal/controller/cancelled.go
+++ b/internal/controller/cancelled.go
@@ -21,9 +21,9 @@
 	leaseSlack = 2 * time.Second
 )
 
-// keepKnowing reads the records so often that this node knows which jobs are cancelled,
+// refreshCancellations reads the records so often that this node knows which jobs are cancelled,
 // and where their tasks are.
-func (n *Node) keepKnowing(ctx context.Context) {
+func (n *Node) refreshCancellations(ctx context.Context) {
 	read := func() error {
 		ctx, cancel := context.WithTimeout(ctx, knowWithin)
 		defer cancel()
@@ -39,14 +39,14 @@
 	}
 }
 
-// mayProlong tells whether this node may answer reports so that leases go on. It must
+// mayExtendLease tells whether this node may answer reports so that leases go on. It must
 // know every cancellation that was told before a lease's time ago and more: whatever it
 // does not know of was told so lately that a lease prolonged now ends in time.
 //
 // It guards against a node, leading or not, that can learn of cancellations from nobody
 // and keeps their tasks alive for longer than users were promised. Its workers try the
 // other nodes, and where none may answer them their tasks end.
-func (n *Node) mayProlong() bool {
+func (n *Node) mayExtendLease() bool {
 	d, ok := n.cancelled.Age()
 	w := &n.settings.Workers
 	// Where a lease leaves no time at all the promise cannot be kept by leases.
@@ -125,8 +125,8 @@
 	return ok
 }
 
-// heed learns from a report what is gone, by the same proofs as a leader.
-func (g *guard) heed(r *fleet.Report) {
+// observe learns from a report what is gone, by the same proofs as a leader.
+func (g *guard) observe(r *fleet.Report) {
 	g.prove(r.Machine, func(p ledger.Place) bool { return r.Proves(p.Task, p.Try, p.Session) })
 }
 
@@ -137,7 +137,7 @@
 	}
 }
 
-// known returns what is known to be gone, for the other controllers; a beat takes what fits.
+// known returns what is known to be gone, for the other controllers; a heartbeat takes what fits.
 func (g *guard) known() (out []*peer.Attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -159,12 +159,12 @@
 	}
 }
 
-// keepGuard looks after cancelled jobs where no leader does.
-func (n *Node) keepGuard(ctx context.Context) {
+// guardCancellations looks after cancelled jobs where no leader does.
+func (n *Node) guardCancellations(ctx context.Context) {
 	for pause.For(ctx, time.Second) {
 		n.guard.look(n.places(0))
 		leader, _ := n.candidate.Leader()
-		if l := n.lead.Load(); l != nil && l.loaded.Load() || n.peers.Leads(leader, lodgeUnheard) {
+		if l := n.leader.Load(); l != nil && l.loaded.Load() || n.peers.Leads(leader, proxyUnheard) {
 			continue // it knows what this node knows, and the places better
 		}
 		late := time.Duration(guardAfter * float64(n.settings.Workers.Cancel))
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -28,23 +28,23 @@
 
 // Node is one controller.
 type Node struct {
-	dial      wire.DialFunc
-	listen    func(context.Context, *wire.Server) error
-	settings  *config.Settings
-	operator  config.Operator
-	store     *statestore.Client
-	cloud     *cloud.Client
-	candidate *leadership.Candidate
-	intake    *intake.Intake
-	types     atomic.Pointer[[]cloud.Type]
-	peers     *peer.Net
-	lodger    *relay.Lodger
-	changed   chan string // jobs to tell the leader of
-	lead      atomic.Pointer[lead]
-	prolonged *sightings // machines whose leases this node has prolonged while it was isolated
-	strays    *sightings // machines that have reported here though this node does not lead
-	cancelled *cancellation.Register
-	guard     guard
+	dial       wire.DialFunc
+	listen     func(context.Context, *wire.Server) error
+	settings   *config.Settings
+	operator   config.Operator
+	store      *statestore.Client
+	cloud      *cloud.Client
+	candidate  *leadership.Candidate
+	intake     *intake.Intake
+	types      atomic.Pointer[[]cloud.Type]
+	peers      *peer.Net
+	proxy      *relay.Proxy
+	changed    chan string // jobs to tell the leader of
+	leader     atomic.Pointer[leader]
+	extended   *sightings // machines whose leases this node has prolonged while it was isolated
+	redirected *sightings // machines that have reported here though this node does not lead
+	cancelled  *cancellation.Register
+	guard      guard
 
 	valueBytes atomic.Int64 // that a value may take, as far as the state service has shown
 	slowed     atomic.Bool  // whether the lower rates to come are kept
@@ -88,16 +88,18 @@
 		cloud:    cloud.New(net.Dial, s.CloudAddr, s.Cloud.RPS*cloudShare),
 	}
 	report := s.Workers.Report * 3 / 2
-	n.prolonged = newSightings(report, s.Resources.MemBytes)
-	n.strays = newSightings(report+strayRound, s.Resources.MemBytes)
+	n.extended = newSightings(report, s.Resources.MemBytes)
+	n.redirected = newSightings(report+redirectRound, s.Resources.MemBytes)
 	n.valueBytes.Store(int64(now.ValueBytes))
 	if now.Next != nil {
 		n.store.Refused = n.onRefused
 	}
 	n.cancelled = cancellation.New(len(s.Peers)+1, s.Workers.Cancel)
-	n.lodger = &relay.Lodger{Node: s.Node, Store: n.store, Dial: net.Dial, ValueBytes: s.State.ValueBytes, TxnOps: s.State.TxnOps}
+	n.proxy = &relay.Proxy{Node: s.Node, Store: n.store, Dial: net.Dial, ValueBytes: s.State.ValueBytes, TxnOps: s.State.TxnOps}
 	n.candidate = &leadership.Candidate{Node: s.Node, TTL: o.LeaderLease, Store: n.store,
-		Defer: func() bool { return n.peers.StraysElsewhere(handOverWithin) > handOverTimes*max(n.strayed(), 1) }}
+		Defer: func() bool {
+			return n.peers.RedirectedElsewhere(handOverWithin) > handOverTimes*max(n.redirectedCount(), 1)
+		}}
 	n.intake = &intake.Intake{
 		Store:     n.store,
 		Teams:     s.Teams,
@@ -121,7 +123,7 @@
 	}
 	n.intake.Init(s.State.RPS)
 	n.peers = &peer.Net{Dial: net.Dial, Node: s.Node, Known: n.candidate.Leader, Learned: n.candidate.Learn, Changed: n.onChanged,
-		Strays: n.strayed, Register: n.cancelled, Cancelled: n.onCancelled,
+		Redirected: n.redirectedCount, Register: n.cancelled, Cancelled: n.onCancelled,
 		Gone: n.guard.known, LearnGone: n.guard.learn, Served: func() bool { return n.store.Served(readyServed) }}
 	for _, p := range s.Peers {
 		n.peers.Others = append(n.peers.Others, peer.Other{Node: p.Node, Addr: p.Addr})
@@ -179,14 +181,14 @@
 		})
 	}
 	run(n.peers.Run)
-	run(n.lodger.Run)
+	run(n.proxy.Run)
 	run(n.intake.Run)
 	run(n.tellChanged)
 	run(n.keepCatalog)
-	run(n.keepKnowing)
-	run(n.keepGuard)
+	run(n.refreshCancellations)
+	run(n.guardCancellations)
 	run(n.awaitGangs)
-	run(func(ctx context.Context) { n.candidate.Run(ctx, n.reign) })
+	run(func(ctx context.Context) { n.candidate.Run(ctx, n.runLeader) })
 	var err error
 	select {
 	case <-ctx.Done():
@@ -211,7 +213,7 @@
 
 // onChanged reads jobs that have changed, if this node leads.
 func (n *Node) onChanged(ids []string) {
-	if l := n.lead.Load(); l != nil {
+	if l := n.leader.Load(); l != nil {
 		l.readJobs(ids)
 	}
 }
@@ -219,7 +221,7 @@
 // onCancelled tells the leader, if this node leads, of jobs that are newly known to be
 // cancelled.
 func (n *Node) onCancelled(ids []string) {
-	if l := n.lead.Load(); l != nil && len(ids) > 0 {
+	if l := n.leader.Load(); l != nil && len(ids) > 0 {
 		l.tell(func() { l.onCancelled(ids, time.Now()) })
 	}
 }
@@ -249,7 +251,7 @@
 			n.types.Store(&types)
 			wait = time.Minute
 			value := wire.Marshal(catalogValue{types})
-			if n.lead.Load() == nil || bytes.Equal(value, kept) || len(value) > relay.Fill(n.settings.State.ValueBytes) {
+			if n.leader.Load() == nil || bytes.Equal(value, kept) || len(value) > relay.Fill(n.settings.State.ValueBytes) {
 				break
 			}
 			_, err := n.store.Txn(ctx, nil, []statestore.Op{{Put: catalogKey, Value: value}}, statestore.Rest)
@@ -276,13 +278,13 @@
 	n.types.Store(&v.Types)
 }
 
-func (n *Node) reign(ctx context.Context, r *leadership.Reign) {
-	reign, cancel := context.WithCancelCause(ctx)
-	l := newLead(reign, n, r)
-	n.lead.Store(l) // from here on reports come, also before it runs (TestReportsBeforeReignRuns)
-	defer n.lead.CompareAndSwap(l, nil)
+func (n *Node) runLeader(ctx context.Context, r *leadership.Term) {
+	term, cancel := context.WithCancelCause(ctx)
+	l := newLeader(term, n, r)
+	n.leader.Store(l) // from here on reports come, also before it runs (TestReportsBeforeReignRuns)
+	defer n.leader.CompareAndSwap(l, nil)
 	if err := l.run(cancel); err != nil && ctx.Err() == nil {
-		slog.Error("reign ended", "term", r.Term(), "err", err)
+		slog.Error("leadership ended by an error", "term", r.Number(), "err", err)
 		r.Resign(context.WithoutCancel(ctx))
 	}
 }
@@ -335,25 +337,25 @@
 	return wire.Response{Status: 421, Body: wire.Marshal(map[string]string{"foreman": leader})}
 }
 
-// Times of lodging: how recently the state service must have named the leader,
+// Times of answering for a leader: how recently the state service must have named the leader,
 // and for how long the leader must not have been heard. A leader that has died
 // loses its key sooner than that.
 const (
-	lodgeConfirmed = 8 * time.Second
-	lodgeUnheard   = 5 * time.Second
+	proxyConfirmed = 8 * time.Second
+	proxyUnheard   = 5 * time.Second
 )
 
-// lodge answers a worker in the place of a leader that this node, and so
+// proxyReport answers a worker in the place of a leader that this node, and so
 // probably the worker, cannot reach: with the leader's token, so that the worker's
 // lease and its tasks outlive a cut between zones, and with the commands that
 // come through the state service. Once the leader is heard again the worker is
 // sent back to it.
-func (n *Node) lodge(r *fleet.Report) (wire.Response, bool) {
-	leader, term, ok := n.candidate.Confirmed(lodgeConfirmed)
-	if !ok || !n.mayProlong() || leader == n.settings.Node || r.Token > term || n.peers.Heard(leader, lodgeUnheard) {
+func (n *Node) proxyReport(r *fleet.Report) (wire.Response, bool) {
+	leader, term, ok := n.candidate.Confirmed(proxyConfirmed)
+	if !ok || !n.mayExtendLease() || leader == n.settings.Node || r.Token > term || n.peers.Heard(leader, proxyUnheard) {
 		return wire.Response{}, false
 	}
-	answer := n.lodger.Answer(r, leader, term)
+	answer := n.proxy.Answer(r, leader, term)
 	answer.Orders = append(answer.Orders, n.halts(r)...)
 	return wire.Response{Status: 200, Body: wire.Marshal(answer)}, true
 }
@@ -362,12 +364,12 @@
 // state service, nor from the leader last known.
 func (n *Node) isolated() bool {
 	leader, _ := n.candidate.Leader()
-	return !n.store.Served(isolatedAfter) && !n.peers.Leads(leader, lodgeUnheard)
+	return !n.store.Served(isolatedAfter) && !n.peers.Leads(leader, proxyUnheard)
 }
 
 const isolatedAfter = 3 * time.Second
 
-// prolongs tells whether an isolated node answers a worker. It answers one under the token
+// extendsLease tells whether an isolated node answers a worker. It answers one under the token
 // that the worker has itself, without commands, so that its lease and its tasks last until a
 // leader can be reached again; and turns it away with its next report, so that one that can
 // reach the leader does so. One that cannot is back in time.
@@ -376,17 +378,17 @@
 // outage of the state service that outlasts the leases, or where a zone with a
 // controller is cut off from everything (197 tasks in inc-008f, 213 on a drawn day of
 // omaruru-fares-grown). No rule depends on a lease's end.
-func (n *Node) prolongs(r *fleet.Report) bool {
-	return r.Token != 0 && n.isolated() && n.mayProlong() && n.prolonged.noteUnlessSeen(r.Machine, time.Now())
+func (n *Node) extendsLease(r *fleet.Report) bool {
+	return r.Token != 0 && n.isolated() && n.mayExtendLease() && n.extended.noteUnlessSeen(r.Machine, time.Now())
 }
 
-// strayed returns how many machines have lately reported to this node though it does
+// redirectedCount returns how many machines have lately reported to this node though it does
 // not lead: within the time that a worker takes to come back from a node that does not
 // answer.
-func (n *Node) strayed() int { return n.strays.count(time.Now()) }
+func (n *Node) redirectedCount() int { return n.redirected.count(time.Now()) }
 
-// strayRound is the worker's wait for a response, and the pause behind it.
-const strayRound = 5 * time.Second
+// redirectRound is the worker's wait for a response, and the pause behind it.
+const redirectRound = 5 * time.Second
 
 // halts returns the commands that end tasks of cancelled jobs on a machine, as far as
 // this node knows of the cancellations: for a worker that it answers without leading for
@@ -408,14 +410,14 @@
 	if err := wire.Unmarshal(body, &r); err != nil || r.Machine == "" || r.Session == 0 {
 		return wire.Response{Status: 400, Body: wire.Marshal(map[string]string{"error": fmt.Sprint("malformed report: ", err)})}
 	}
-	n.guard.heed(&r)
-	l := n.lead.Load()
+	n.guard.observe(&r)
+	l := n.leader.Load()
 	if l == nil {
-		n.strays.note(r.Machine, time.Now())
-		if resp, ok := n.lodge(&r); ok {
+		n.redirected.note(r.Machine, time.Now())
+		if resp, ok := n.proxyReport(&r); ok {
 			return resp
 		}
-		if n.prolongs(&r) {
+		if n.extendsLease(&r) {
 			return wire.Response{Status: 200, Body: wire.Marshal(fleet.Answer{Token: r.Token, Orders: n.halts(&r)})}
 		}
 		return n.redirect()
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -13,11 +13,11 @@
 )
 
 // everySecond updates the index and looks after what time alone brings about.
-func (l *lead) everySecond(now time.Time) {
-	op := &l.n.operator
+func (l *leader) everySecond(now time.Time) {
+	op := &l.node.operator
 	l.fleet.Each(func(m *fleet.Machine) {
 		var counts placement.Amounts
-		for _, h := range m.Holds {
+		for _, h := range m.Assignments {
 			s := h.Job.Spec
 			if m.Type >= 0 {
 				m.Images.Use(s.Image, s.ImageGB, l.types[m.Type].Disk, now)
@@ -25,31 +25,31 @@
 					m.Images.Fetched(s.Image)
 				}
 			}
-			for r, n := range l.jobs[h.Job].need {
+			for r, n := range l.jobStates[h.Job].need {
 				if n > 0 {
 					counts[r]++
 				}
 			}
 		}
 		l.machines[m].index.Update(counts, now, op.IndexUpdate, op.Smoothing)
-		if len(m.Holds) > 0 {
+		if len(m.Assignments) > 0 {
 			m.IdleSince = now
 		}
 		l.drain(m, now)
 	})
-	l.book.Jobs(func(j *ledger.Job) {
-		l.tendGang(j, now)
+	l.jobs.Jobs(func(j *ledger.Job) {
+		l.reconcileGang(j, now)
 		if j.Cancelled {
-			l.sweep(j, now)
-		} else if l.n.cancelled.Knows(j.Spec.ID) {
+			l.stopAttempts(j, now)
+		} else if l.node.cancelled.Knows(j.Spec.ID) {
 			l.onCancelled([]string{j.Spec.ID}, now) // it was told of while its events were full
 		}
 	})
 	l.retire(now)
-	l.reachOut(now)
+	l.probeSilent(now)
 	l.handOver(now)
 	// A connection kept for each machine would take a third of all sockets.
-	for _, c := range l.pushers {
+	for _, c := range l.workerClients {
 		c.Trim(2 * time.Second)
 	}
 }
@@ -61,7 +61,7 @@
 // drain empties a machine that the cloud takes back. Services stop at once, since
 // they cannot start elsewhere before they are gone here; tasks that can save their
 // progress go on for as long as they can; the others may yet be done in time.
-func (l *lead) drain(m *fleet.Machine, now time.Time) {
+func (l *leader) drain(m *fleet.Machine, now time.Time) {
 	if m.Recall.IsZero() {
 		return
 	}
@@ -72,7 +72,7 @@
 		case s.Shape == job.Service:
 			m.Stop(h, s.SaveS)
 		case s.CheckpointS > 0 && h.Job.Gang():
-			if m.Recall.Sub(now) < save+saveLeeway+l.n.settings.Workers.GangPeer {
+			if m.Recall.Sub(now) < save+saveLeeway+l.node.settings.Workers.GangPeer {
 				l.stopGang(h.Job, now)
 			}
 		case s.CheckpointS > 0 && m.Recall.Sub(now) < save+saveLeeway:
@@ -82,15 +82,15 @@
 }
 
 // capacity returns what a machine of a type holds.
-func (l *lead) capacity(typ int) placement.Amounts {
+func (l *leader) capacity(typ int) placement.Amounts {
 	t := &l.types[typ]
 	return placement.Amounts{placement.CPU: t.CPUs, placement.Memory: t.RAM, placement.GPU: t.GPUs}
 }
 
-// view returns a machine as placement sees it, and its holds in the order of its
+// view returns a machine as placement sees it, and its assignments in the order of its
 // tasks. What is on it is worked out anew only when it has changed: a pass looks
 // at every machine, and most have changed nothing since the last.
-func (l *lead) view(m *fleet.Machine, now time.Time) (placement.Machine, []*fleet.Hold) {
+func (l *leader) view(m *fleet.Machine, now time.Time) (placement.Machine, []*fleet.Assignment) {
 	v := placement.Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
 	if m.Gone || m.Type < 0 || m.Zone < 0 {
 		return v, nil
@@ -99,40 +99,40 @@
 	if !st.valid || st.version != m.Version || st.typ != m.Type {
 		st.valid, st.version, st.typ = true, m.Version, m.Type
 		st.free = l.capacity(m.Type)
-		st.holds = m.Sorted()
-		st.tasks = make([]placement.Task, 0, len(st.holds))
-		for i, h := range st.holds {
-			job := l.jobs[h.Job]
+		st.assigned = m.Sorted()
+		st.tasks = make([]placement.Task, 0, len(st.assigned))
+		for i, h := range st.assigned {
+			job := l.jobStates[h.Job]
 			st.free = st.free.Add(job.need, -1)
 			st.tasks = append(st.tasks, placement.Task{ID: i, Need: job.need,
 				Priority: h.Job.Spec.Rank(), Team: job.team, Since: h.Since, Stopping: h.Stopping,
 				Mates: l.mates(h.Job), Ends: l.ends(h)})
 		}
 	}
-	for _, h := range st.holds {
+	for _, h := range st.assigned {
 		v.Fetch = v.Fetch || h.Running.IsZero()
 	}
 	v.Free, v.Tasks, v.Load = st.free, st.tasks, st.index.Value()
-	v.Open = l.present(m) && !m.Foreign() && !m.Sick && !m.Failed && m.Retire == "" && m.Recall.IsZero() &&
-		m.DeafSince.IsZero() && now.Sub(m.Heard) < l.n.operator.Silent
-	return v, st.holds
+	v.Open = l.present(m) && !m.Foreign() && !m.Sick && !m.Failed && m.RetireReason == "" && m.Recall.IsZero() &&
+		m.DeafSince.IsZero() && now.Sub(m.Heard) < l.node.operator.Silent
+	return v, st.assigned
 }
 
 // present tells whether a machine is known to be there, by its token, which it can
 // only have from an answer of this leader, or by the cloud's list. A report alone
 // may be a late copy: to a new leader, of a machine that was returned before.
-func (l *lead) present(m *fleet.Machine) bool {
+func (l *leader) present(m *fleet.Machine) bool {
 	return m.Known && (m.Token >= l.firstTerm || m.Listed)
 }
 
 // teams returns limits and use; every attempt counts that is not proven gone.
-func (l *lead) teams() []placement.Team {
-	out := make([]placement.Team, len(l.n.settings.Teams))
-	for i, t := range l.n.settings.Teams {
-		out[i] = placement.Team{CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax, Guest: t.Guest()}
+func (l *leader) teams() []placement.Team {
+	out := make([]placement.Team, len(l.node.settings.Teams))
+	for i, t := range l.node.settings.Teams {
+		out[i] = placement.Team{CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax, Opportunistic: t.Opportunistic()}
 	}
-	l.book.Jobs(func(j *ledger.Job) {
-		if t := l.jobs[j].team; t >= 0 {
+	l.jobs.Jobs(func(j *ledger.Job) {
+		if t := l.jobStates[j].team; t >= 0 {
 			out[t].CPUsUsed += float64(j.LiveTasks()) * j.Spec.CPUs
 			out[t].GPUsUsed += float64(j.LiveTasks()) * j.Spec.GPUs
 		}
@@ -149,12 +149,12 @@
 )
 
 // place makes one placement pass if one is due.
-func (l *lead) place(now time.Time) {
+func (l *leader) place(now time.Time) {
 	since := now.Sub(l.placed)
 	if since < max(passGap, passShare*l.passTook) || !l.replan && since < time.Second {
 		return
 	}
-	if !l.reign.Valid() || !l.ready(now) {
+	if !l.term.Valid() || !l.ready(now) {
 		return
 	}
 	l.replan, l.placed = false, now
@@ -166,22 +166,22 @@
 // others: half of the four minutes that the users allow.
 const beginBy = 2 * time.Minute
 
-func (l *lead) pass(now time.Time) {
+func (l *leader) pass(now time.Time) {
 	var waiting []*ledger.Job
-	l.book.Jobs(func(j *ledger.Job) {
+	l.jobs.Jobs(func(j *ledger.Job) {
 		// A gang starts anew only once all of it is gone: a part would wait in vain.
 		parted := j.Gang() && j.LiveTasks() > 0
-		if j.WaitingTasks() > 0 && !parted && l.jobs[j].team >= 0 && !now.Before(l.jobs[j].notBefore) {
+		if j.WaitingTasks() > 0 && !parted && l.jobStates[j].team >= 0 && !now.Before(l.jobStates[j].notBefore) {
 			waiting = append(waiting, j)
 		}
 	})
-	l.without = 0
+	l.unplaced = 0
 	if len(waiting) == 0 {
 		return
 	}
 	sort.Slice(waiting, func(x, y int) bool { return waiting[x].Arrival < waiting[y].Arrival })
 	machines := make([]placement.Machine, l.fleet.Size())
-	held := make([][]*fleet.Hold, len(machines))
+	held := make([][]*fleet.Assignment, len(machines))
 	for i := range machines {
 		machines[i], held[i] = l.view(l.fleet.At(i), now)
 	}
@@ -193,7 +193,7 @@
 		late /= 2 // room kept for gangs keeps no job waiting for long
 	}
 	for i, j := range waiting {
-		st := l.jobs[j]
+		st := l.jobStates[j]
 		s := j.Spec
 		jobs[i] = placement.Job{Team: st.team, Priority: l.priority(j), Arrival: j.Arrival, Ratio: l.ratio(j, now), Beyond: beyond[j], Need: st.need,
 			Waiting: l.wanted(j), Types: st.types, Zone: st.zone, Spot: s.Spot, OneZone: s.OneZone, Apart: s.Apart,
@@ -210,17 +210,17 @@
 	tries := make([]uint64, len(waiting))
 	for _, a := range plan.Assign {
 		j, m := waiting[a.Job], l.fleet.At(a.Machine)
-		task := j.NextStartable(next[a.Job], int(l.n.valueBytes.Load()))
+		task := j.NextStartable(next[a.Job], int(l.node.valueBytes.Load()))
 		if task < 0 {
 			continue // the state service has shown meanwhile that it takes less
 		}
 		next[a.Job] = task + 1
 		if tries[a.Job] == 0 || !jobs[a.Job].Gang {
-			tries[a.Job] = l.book.NextTry(l.reign.Term())
+			tries[a.Job] = l.jobs.NextTry(l.term.Number())
 		}
-		h := m.Hold(l.book.Start(j, task, tries[a.Job], m.Name, m.Session, now), now)
+		h := m.Assign(l.jobs.Start(j, task, tries[a.Job], m.Name, m.Session, now), now)
 		m.Images.Use(j.Spec.Image, j.Spec.ImageGB, l.types[m.Type].Disk, now)
-		if st := l.jobs[j]; st.failing() {
+		if st := l.jobStates[j]; st.failing() {
 			st.notBefore = now.Add(st.backoff)
 			st.backoff = min(2*st.backoff, maxBackoff)
 		}
@@ -236,7 +236,7 @@
 		l.fleet.At(s.Machine).Stop(h, h.Job.Spec.SaveS)
 	}
 	for _, n := range plan.Starved[:len(waiting)] {
-		l.without += n
+		l.unplaced += n
 	}
 }
 
@@ -245,23 +245,23 @@
 const startShare = 4
 
 // displaces tells whether a job of a team with a guarantee has waited for so long that
-// work of guests is to be stopped for it: half of the time in which work within a
+// work of teams without a guarantee is to be stopped for it: half of the time in which work within a
 // guarantee should start. Until then short tasks of theirs end by themselves.
-func (l *lead) displaces(j *ledger.Job, now time.Time) bool {
-	patience := l.n.operator.Silent
-	for _, o := range l.n.settings.Objectives {
+func (l *leader) displaces(j *ledger.Job, now time.Time) bool {
+	patience := l.node.operator.Silent
+	for _, o := range l.node.settings.Objectives {
 		if o.Kind == config.KindGuarantee {
 			patience = o.Within / 2
 		}
 	}
-	return now.Sub(j.At) >= patience && !l.guest(j)
+	return now.Sub(j.At) >= patience && !l.opportunistic(j)
 }
 
-// priority returns a waiting job's priority: of guests the lowest, whatever they say. They
+// priority returns a waiting job's priority: of teams without a guarantee the lowest, whatever they say. They
 // would take the room that was just made for work within a guarantee, and be stopped for
 // it again, for ever (TestGuests).
-func (l *lead) priority(j *ledger.Job) int {
-	if l.guest(j) {
+func (l *leader) priority(j *ledger.Job) int {
+	if l.opportunistic(j) {
 		return job.BestEffort
 	}
 	return j.Spec.Rank()
@@ -271,7 +271,7 @@
 // the zones of all are known. After an election those of machines that neither
 // the cloud's list nor a report has named are not; a job whose tasks are tied to
 // each other by zone is not placed on a guess.
-func (l *lead) inZones(j *ledger.Job) (in []int, known bool) {
+func (l *leader) inZones(j *ledger.Job) (in []int, known bool) {
 	in, known = make([]int, len(l.zones)), true
 	j.Attempts(func(a *ledger.Attempt) {
 		if m := l.fleet.Machine(a.Machine); m != nil && m.Zone >= 0 {
@@ -285,7 +285,7 @@
 
 // ratio returns the inverse of an array's response ratio: its work left over the
 // time that its user has waited, one task's run included.
-func (l *lead) ratio(j *ledger.Job, now time.Time) float64 {
+func (l *leader) ratio(j *ledger.Job, now time.Time) float64 {
 	if j.Spec.Shape != job.Array {
 		return 0
 	}
@@ -295,25 +295,25 @@
 
 // beyond tells which jobs do not fit into their team's guarantee together with
 // the team's earlier unfinished jobs.
-func (l *lead) beyond() map[*ledger.Job]bool {
-	jobs := make([]*ledger.Job, 0, l.book.Len())
-	l.book.Jobs(func(j *ledger.Job) {
-		if l.jobs[j].team >= 0 && !j.Cancelled {
+func (l *leader) beyond() map[*ledger.Job]bool {
+	jobs := make([]*ledger.Job, 0, l.jobs.Len())
+	l.jobs.Jobs(func(j *ledger.Job) {
+		if l.jobStates[j].team >= 0 && !j.Cancelled {
 			jobs = append(jobs, j)
 		}
 	})
 	// What fails on every machine takes nothing of the guarantee from the good jobs.
 	sort.Slice(jobs, func(x, y int) bool {
-		if a, b := l.jobs[jobs[x]].failing(), l.jobs[jobs[y]].failing(); a != b {
+		if a, b := l.jobStates[jobs[x]].failing(), l.jobStates[jobs[y]].failing(); a != b {
 			return b
 		}
 		return jobs[x].Arrival < jobs[y].Arrival
 	})
-	teams := l.n.settings.Teams
+	teams := l.node.settings.Teams
 	cpus, gpus := make([]float64, len(teams)), make([]float64, len(teams))
 	out := make(map[*ledger.Job]bool)
 	for _, j := range jobs {
-		t := l.jobs[j].team
+		t := l.jobStates[j].team
 		n := float64(j.Spec.Tasks - j.DoneTasks())
 		cpus[t] += n * j.Spec.CPUs
 		gpus[t] += n * j.Spec.GPUs
@@ -325,7 +325,7 @@
 }
 
 // avoid returns the machines on which a job has failed lately.
-func (l *lead) avoid(st *jobState) []bool {
+func (l *leader) avoid(st *jobState) []bool {
 	if len(st.failedOn) == 0 {
 		return nil
 	}
@@ -343,9 +343,9 @@
 // should start: on kapana-orders-grown 2 s of 4. Jobs with the same image share the
 // list, so that one pass sends them to the same machines. It also tells whether the
 // fetch takes up all of that time.
-func (l *lead) images(j *ledger.Job, lists map[string][]placement.Image) (list []placement.Image, costly bool) {
-	limit, fetch := l.n.operator.Smoothing, l.fetchSeconds(j)
-	for _, o := range l.n.settings.Objectives {
+func (l *leader) images(j *ledger.Job, lists map[string][]placement.Image) (list []placement.Image, costly bool) {
+	limit, fetch := l.node.operator.Smoothing, l.fetchSeconds(j)
+	for _, o := range l.node.settings.Objectives {
 		if o.Within <= 0 || o.Kind != config.KindGuarantee && (o.Kind != config.KindWait || o.Class != j.Spec.Class) {
 			continue
 		}
@@ -385,10 +385,10 @@
 // reported. Forced by the crashes of the troubles and rough days, on which each
 // election cost services 10 s of their start aim; and nearly, since of hundreds of
 // machines some are always dying, hanging or cut off, and get no tasks anyway.
-func (l *lead) ready(now time.Time) bool {
-	if !l.gathered && (now.Sub(l.started) >= l.n.operator.Gather || l.listed && l.reported() >= nearlyAll) {
+func (l *leader) ready(now time.Time) bool {
+	if !l.gathered && (now.Sub(l.started) >= l.node.operator.Gather || l.listed && l.reported() >= nearlyAll) {
 		l.gathered = true
-		slog.Info("gathering over", "term", l.reign.Term(), "after", now.Sub(l.started).Round(time.Millisecond))
+		slog.Info("gathering over", "term", l.term.Number(), "after", now.Sub(l.started).Round(time.Millisecond))
 	}
 	return l.gathered
 }
@@ -398,12 +398,12 @@
 
 // surveyed tells whether machines that have not reported may be taken for lost, and
 // others rented in their place.
-func (l *lead) surveyed(now time.Time) bool {
-	return l.ready(now) && (now.Sub(l.started) >= l.n.operator.Gather || l.reported() == 1)
+func (l *leader) surveyed(now time.Time) bool {
+	return l.ready(now) && (now.Sub(l.started) >= l.node.operator.Gather || l.reported() == 1)
 }
 
 // reported returns the part of the machines that should report and have.
-func (l *lead) reported() float64 {
+func (l *leader) reported() float64 {
 	all, heard := 0, 0
 	l.fleet.Each(func(m *fleet.Machine) {
 		switch {
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -14,17 +14,17 @@
 	"tulipshelf/internal/wire"
 )
 
-// relayed is what the leader holds of one go-between.
-type relayed struct {
+// proxyState is what the leader holds of one proxy.
+type proxyState struct {
 	written [][]byte // by part, the last commands written for its workers
 	from    int      // part to begin with, so that each has its turn
 	writing bool
 	next    time.Time
-	heard   time.Time       // its last mail
+	heard   time.Time       // its last reports
 	wanted  map[string]bool // machines whose reports are wanted whole
 }
 
-// How often it is looked whether commands for a go-between have changed, and the
+// How often it is looked whether commands for a proxy have changed, and the
 // least time between two writes of them.
 const (
 	relayEvery   = 250 * time.Millisecond
@@ -32,18 +32,18 @@
 )
 
 // followRelay takes reports that come through the state service.
-func (l *lead) followRelay(ctx context.Context) {
+func (l *leader) followRelay(ctx context.Context) {
 	var rev uint64
 	for ctx.Err() == nil {
 		if rev == 0 {
-			page, err := l.n.store.List(ctx, relay.UpPrefix, "", 1, statestore.Rest)
+			page, err := l.node.store.List(ctx, relay.UpPrefix, "", 1, statestore.Rest)
 			if err != nil {
 				pause.For(ctx, time.Second)
 				continue
 			}
 			rev = page.Rev
 		}
-		events, at, err := l.n.store.Watch(ctx, relay.UpPrefix, rev, 20*time.Second)
+		events, at, err := l.node.store.Watch(ctx, relay.UpPrefix, rev, 20*time.Second)
 		if errors.Is(err, statestore.ErrCompacted) {
 			rev = 0
 		}
@@ -54,44 +54,44 @@
 		rev = max(rev, at)
 		l.post(func() {
 			for i := range events {
-				var m relay.Mail
+				var m relay.ReportBatch
 				if err := wire.Unmarshal(events[i].Value, &m); err != nil {
 					slog.Error("relayed reports unreadable", "err", err)
 					continue
 				}
-				l.takeMail(&m)
+				l.applyReportBatch(&m)
 			}
 		})
 		pause.For(ctx, 200*time.Millisecond)
 	}
 }
 
-func (l *lead) takeMail(mail *relay.Mail) {
+func (l *leader) applyReportBatch(batch *relay.ReportBatch) {
 	now := time.Now()
-	s := l.relays[mail.Node]
+	s := l.relays[batch.Node]
 	if s == nil {
 		// As many parts as one write can carry.
-		parts := min(l.n.settings.State.TxnOps, max(1, relay.MaxWrite/l.n.settings.State.ValueBytes))
-		s = &relayed{written: make([][]byte, parts), wanted: map[string]bool{}}
-		l.relays[mail.Node] = s
+		parts := min(l.node.settings.State.TxnOps, max(1, relay.MaxWrite/l.node.settings.State.ValueBytes))
+		s = &proxyState{written: make([][]byte, parts), wanted: map[string]bool{}}
+		l.relays[batch.Node] = s
 	}
 	s.heard = now
 	take := func(r *fleet.Report) {
-		if r.Token > l.reign.Term() {
+		if r.Token > l.term.Number() {
 			return
 		}
-		if m := l.take(r, now); m != nil && m.Session == r.Session && m.Tick == r.Tick {
-			m.Via = mail.Node
+		if m := l.applyReport(r, now); m != nil && m.Session == r.Session && m.Tick == r.Tick {
+			m.Via = batch.Node
 			m.Hears() // what goes through the node reaches it
 		}
 	}
-	for i := range mail.Reports {
-		r := mail.Reports[i].Report()
+	for i := range batch.Reports {
+		r := batch.Reports[i].Report()
 		take(&r)
 		delete(s.wanted, r.Machine)
 	}
-	for i := range mail.Changes {
-		c := &mail.Changes[i]
+	for i := range batch.Changes {
+		c := &batch.Changes[i]
 		if l.fleet.Returned(c.Machine) {
 			continue
 		}
@@ -109,30 +109,30 @@
 
 // writeRelay writes the commands for machines that are heard through others,
 // where they have changed.
-func (l *lead) writeRelay(now time.Time) {
-	if len(l.relays) == 0 || !l.reign.Valid() {
+func (l *leader) writeRelay(now time.Time) {
+	if len(l.relays) == 0 || !l.term.Valid() {
 		return
 	}
 	for node, s := range l.relays {
 		if s.writing || now.Before(s.next) {
 			continue
 		}
-		if now.Sub(s.heard) > l.n.operator.Silent {
+		if now.Sub(s.heard) > l.node.operator.Silent {
 			delete(l.relays, node) // the cut is over
 			continue
 		}
 		s.next = now.Add(relayEvery)
-		l.writeBoxes(node, s, l.boxes(node, s, now))
+		l.writeCommandBatches(node, s, l.commandBatches(node, s, now))
 	}
 }
 
-// boxes returns the commands for the machines heard through a node, in parts.
-func (l *lead) boxes(node string, s *relayed, now time.Time) []relay.Box {
-	term, limit := l.reign.Term(), relay.Fill(min(l.n.settings.State.ValueBytes, relay.MaxWrite))-200
-	parts := make([]relay.Box, len(s.written))
+// commandBatches returns the commands for the machines heard through a node, in parts.
+func (l *leader) commandBatches(node string, s *proxyState, now time.Time) []relay.CommandBatch {
+	term, limit := l.term.Number(), relay.Fill(min(l.node.settings.State.ValueBytes, relay.MaxWrite))-200
+	parts := make([]relay.CommandBatch, len(s.written))
 	left := make([]int, len(parts))
 	for i := range parts {
-		parts[i], left[i] = relay.Box{Term: term, Machines: map[string]relay.Order{}}, limit
+		parts[i], left[i] = relay.CommandBatch{Term: term, Machines: map[string]relay.Order{}}, limit
 	}
 	put := func(part int, name string, o relay.Order) {
 		if size := len(name) + len(wire.Marshal(o)) + 2; size <= left[part] {
@@ -142,7 +142,7 @@
 	}
 	some := false
 	l.fleet.Each(func(m *fleet.Machine) {
-		if m.Via != node || now.Sub(m.Heard) > l.n.operator.Silent {
+		if m.Via != node || now.Sub(m.Heard) > l.node.operator.Silent {
 			return
 		}
 		some = true
@@ -165,8 +165,8 @@
 	return parts
 }
 
-// writeBoxes writes the parts that have changed, as many as one write can carry.
-func (l *lead) writeBoxes(node string, s *relayed, parts []relay.Box) {
+// writeCommandBatches writes the parts that have changed, as many as one write can carry.
+func (l *leader) writeCommandBatches(node string, s *proxyState, parts []relay.CommandBatch) {
 	var ops []statestore.Op
 	values := map[int][]byte{}
 	size := 0
@@ -187,9 +187,9 @@
 		return
 	}
 	s.writing, s.next = true, time.Now().Add(relayWritten)
-	fence := l.reign.Fence()
+	fence := l.term.Fence()
 	l.spawn(func() {
-		_, err := l.n.store.Txn(l.ctx, []statestore.Cond{fence}, ops, statestore.User)
+		_, err := l.node.store.Txn(l.ctx, []statestore.Cond{fence}, ops, statestore.User)
 		l.post(func() {
 			s.writing = false
 			if err != nil {
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -22,21 +22,21 @@
 )
 
 // rent is the goroutine that talks to the cloud.
-func (l *lead) rent(ctx context.Context) {
+func (l *leader) rent(ctx context.Context) {
 	const (
 		decideEvery = 500 * time.Millisecond
 		maxPause    = 5 * time.Second
 	)
 	var listed time.Time
-	listEvery := max(2*time.Second, l.n.settings.Cloud.ListLag/2)
+	listEvery := max(2*time.Second, l.node.settings.Cloud.ListLag/2)
 	machines := 0              // of the last list
 	var pending []cloud.Rental // asked for and not answered for certain
 	gap := decideEvery         // grows while the cloud does not serve
 	for ctx.Err() == nil {
 		failed := false
-		if time.Since(listed) >= max(listEvery, l.n.cloud.ListEvery(machines)) {
+		if time.Since(listed) >= max(listEvery, l.node.cloud.ListEvery(machines)) {
 			asked := time.Now()
-			list, err := l.n.cloud.List(ctx)
+			list, err := l.node.cloud.List(ctx)
 			if err != nil {
 				slog.Debug("machines not listed", "err", err)
 				failed = true
@@ -50,7 +50,7 @@
 		var asks []cloud.Rental
 		if l.call(ctx, func() { names, asks = l.decide(time.Now()) }) {
 			if len(names) > 0 {
-				if err := l.n.cloud.Return(ctx, names); err != nil {
+				if err := l.node.cloud.Return(ctx, names); err != nil {
 					slog.Debug("machines not returned", "machines", names, "err", err)
 					failed = true
 				} else {
@@ -61,7 +61,7 @@
 		}
 		var again []cloud.Rental
 		for _, r := range pending {
-			got, err := l.n.cloud.Rent(ctx, r)
+			got, err := l.node.cloud.Rent(ctx, r)
 			if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
 				slog.Debug("rental not answered", "request", r.Name, "err", err)
 				failed = true
@@ -84,7 +84,7 @@
 	}
 }
 
-func (l *lead) returned(names []string) {
+func (l *leader) returned(names []string) {
 	now := time.Now()
 	for _, name := range names {
 		m := l.fleet.Machine(name)
@@ -92,13 +92,13 @@
 			l.outcome(m, o, now)
 		}
 		delete(l.machines, m)
-		delete(l.pushers, name)
+		delete(l.workerClients, name)
 	}
 	l.replan = true
 	slog.Info("machines returned", "machines", names)
 }
 
-func (l *lead) rented(r cloud.Rental, names []string) {
+func (l *leader) rented(r cloud.Rental, names []string) {
 	now := time.Now()
 	why := l.renting[r.Name]
 	delete(l.renting, r.Name)
@@ -125,10 +125,10 @@
 // onList takes a list of machines. A machine that is missing from it proves
 // nothing by that, but a silent one that is missing is asked back, and the
 // answer to that does.
-func (l *lead) onList(list []cloud.Machine, asked time.Time) {
+func (l *leader) onList(list []cloud.Machine, asked time.Time) {
 	now := time.Now()
 	l.listed = true
-	lag := 2*l.n.settings.Cloud.ListLag + 2*time.Second
+	lag := 2*l.node.settings.Cloud.ListLag + 2*time.Second
 	in := make(map[string]bool, len(list))
 	for i := range list {
 		c := &list[i]
@@ -150,29 +150,29 @@
 		if m.Known {
 			heard = m.Heard
 		}
-		if !in[m.Name] && m.Retire == "" && asked.Sub(heard) > lag && asked.Sub(m.Created) > lag {
+		if !in[m.Name] && m.RetireReason == "" && asked.Sub(heard) > lag && asked.Sub(m.Created) > lag {
 			giveUp(m, "no longer listed")
 		}
 	})
 }
 
 // decide returns the machines to return and the rentals to ask for.
-func (l *lead) decide(now time.Time) (names []string, asks []cloud.Rental) {
-	if !l.loaded.Load() || !l.reign.Valid() || !l.surveyed(now) {
-		return l.givenUp(func(m *fleet.Machine) bool { return m.Retire == stuckCancelled }), nil
+func (l *leader) decide(now time.Time) (names []string, asks []cloud.Rental) {
+	if !l.loaded.Load() || !l.term.Valid() || !l.surveyed(now) {
+		return l.givenUp(func(m *fleet.Machine) bool { return m.RetireReason == stuckCancelled }), nil
 	}
-	l.reprice(*l.n.types.Load())
+	l.reprice(*l.node.types.Load())
 	var ms []*fleet.Machine
 	var machines []rental.Machine
 	l.fleet.Each(func(m *fleet.Machine) {
-		if m.Type < 0 || m.Zone < 0 || m.Retire != "" {
+		if m.Type < 0 || m.Zone < 0 || m.RetireReason != "" {
 			return
 		}
 		v, _ := l.view(m, now)
 		ms = append(ms, m)
 		machines = append(machines, rental.Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: v.Free,
 			Usable: v.Open || !m.Known && !m.Failed && !l.overdueBoot(m, now),
-			Empty:  m.Known && len(m.Holds) == 0 && l.nothingUnsettled(m), Idle: min(now.Sub(m.IdleSince), now.Sub(m.Created)-minPaid+l.n.operator.IdleReturn)})
+			Empty:  m.Known && len(m.Assignments) == 0 && l.nothingUnsettled(m), Idle: min(now.Sub(m.IdleSince), now.Sub(m.Created)-minPaid+l.node.operator.IdleReturn)})
 	})
 	var pools []rental.Pool
 	for t := range l.types {
@@ -192,19 +192,19 @@
 		}
 	}
 	demand, why := l.demand(now)
-	d := rental.Plan(demand, machines, pools, l.n.operator.IdleReturn)
+	d := rental.Plan(demand, machines, pools, l.node.operator.IdleReturn)
 	l.logFleet(now, d)
 	for _, i := range d.Return {
 		giveUp(ms[i], "idle")
 	}
-	names = l.givenUp(func(m *fleet.Machine) bool { return m.Retire != "" })
+	names = l.givenUp(func(m *fleet.Machine) bool { return m.RetireReason != "" })
 	if len(l.renting) > 0 {
 		return names, nil // what is asked for is not in the list of machines yet
 	}
 	// No more than can be asked for at once: what would wait is decided anew, for what
 	// has come by then. At the start of visitors of omaruru-fares-ops eight requests for
 	// two machines each took 4 s, while 900 tasks came.
-	for _, r := range d.Rent[:min(len(d.Rent), l.n.cloud.Ready())] {
+	for _, r := range d.Rent[:min(len(d.Rent), l.node.cloud.Ready())] {
 		p := pools[r.Pool]
 		ask := cloud.Rental{Name: l.rentalName(), Type: l.types[p.Type].Name, Zone: l.zones[p.Zone], Spot: p.Spot,
 			Count: min(r.Count, cloud.MaxRent)}
@@ -215,7 +215,7 @@
 }
 
 // logFleet notes what the machines are used for.
-func (l *lead) logFleet(now time.Time, d rental.Decision) {
+func (l *leader) logFleet(now time.Time, d rental.Decision) {
 	if !slog.Default().Enabled(l.ctx, slog.LevelDebug) {
 		return
 	}
@@ -230,24 +230,24 @@
 			spot++
 		}
 		if m.Known {
-			v, holds := l.view(m, now)
+			v, assigned := l.view(m, now)
 			up++
 			cpus += l.types[m.Type].CPUs
 			free += v.Free[placement.CPU]
-			if len(holds) == 0 {
+			if len(assigned) == 0 {
 				empty++
 			}
 		}
 	})
-	l.book.Jobs(func(j *ledger.Job) { waiting += j.WaitingTasks() })
-	starts, chunks, ends := l.book.Backlog()
+	l.jobs.Jobs(func(j *ledger.Job) { waiting += j.WaitingTasks() })
+	starts, chunks, ends := l.jobs.Backlog()
 	slog.Debug("unwritten", "starts", starts, "chunks", chunks, "ends", ends)
 	slog.Debug("fleet", "machines", all, "spot", spot, "up", up, "empty", empty, "cpus", cpus, "free", free, "waiting", waiting, "rent", d.Rent, "return", len(d.Return))
 }
 
 // reprice takes current prices. Types that are new to this leader wait for the
 // next: jobs and machines hold dense indices of those it began with.
-func (l *lead) reprice(types []cloud.Type) {
+func (l *leader) reprice(types []cloud.Type) {
 	for _, t := range types {
 		if i, ok := l.typeIndex[t.Name]; ok {
 			l.types[i].Hourly, l.types[i].SpotPrice = t.Hourly, t.SpotPrice
@@ -256,14 +256,14 @@
 }
 
 // nothingUnsettled tells whether all results on a machine are written.
-func (l *lead) nothingUnsettled(m *fleet.Machine) bool {
+func (l *leader) nothingUnsettled(m *fleet.Machine) bool {
 	ok := true
 	m.Finished(func(task string) { ok = ok && l.settled(task) })
 	return ok
 }
 
 // rentalName returns a request name that is never used again, by any leader.
-func (l *lead) rentalName() string {
+func (l *leader) rentalName() string {
 	l.rentSeq++
-	return "r-" + strconv.FormatUint(l.reign.Term(), 10) + "-" + strconv.Itoa(l.rentSeq)
+	return "r-" + strconv.FormatUint(l.term.Number(), 10) + "-" + strconv.Itoa(l.rentSeq)
 }
--- a/internal/controller/retire.go
+++ b/internal/controller/retire.go
@@ -15,7 +15,7 @@
 	maxDeadShare = 3                            // one in so many silent machines at once: rather our own network
 	cutMissed    = 10                           // reports missed in a row of a zone: it is cut off
 	cutPatience  = 3                            // leases for which the machines of a zone that is cut off are kept
-	deafPatience = lodgeUnheard + 3*time.Second // in a cut late copies of reports look like that until others pass them on
+	deafPatience = proxyUnheard + 3*time.Second // in a cut late copies of reports look like that until others pass them on
 	cancelLeeway = 0.55                         // share of the cancellation time after which a machine is given up
 	cancelLast   = 0.8                          // the same while a new leader gathers reports
 )
@@ -26,22 +26,22 @@
 const stuckCancelled = "holds a cancelled task that cannot be stopped"
 
 func giveUp(m *fleet.Machine, why string) {
-	m.Retire = why
-	slog.Info("machine given up", "machine", m.Name, "why", why, "tasks", len(m.Holds))
+	m.RetireReason = why
+	slog.Info("machine given up", "machine", m.Name, "why", why, "tasks", len(m.Assignments))
 }
 
 // retire decides which machines are given up for what time has shown.
-func (l *lead) retire(now time.Time) {
+func (l *leader) retire(now time.Time) {
 	l.fleet.Each(func(m *fleet.Machine) {
-		if m.Retire != stuckCancelled && l.overdueCancel(m, now) {
+		if m.RetireReason != stuckCancelled && l.overdueCancel(m, now) {
 			giveUp(m, stuckCancelled)
 		}
 	})
-	if !l.reign.Valid() || !l.surveyed(now) {
+	if !l.term.Valid() || !l.surveyed(now) {
 		return
 	}
-	op := &l.n.operator
-	report, lease := l.n.settings.Workers.Report, l.n.settings.Workers.Lease
+	op := &l.node.operator
+	report, lease := l.node.settings.Workers.Report, l.node.settings.Workers.Lease
 	known, silent := 0, 0
 	quiet := func(m *fleet.Machine) time.Duration {
 		since := l.started
@@ -53,7 +53,7 @@
 	zoneKnown, zoneSilent := make([]int, len(l.zones)), make([]int, len(l.zones))
 	zoneHeard := make([]time.Time, len(l.zones)) // when any machine there was last heard
 	l.fleet.Each(func(m *fleet.Machine) {
-		if m.Known || len(m.Holds) > 0 {
+		if m.Known || len(m.Assignments) > 0 {
 			known++
 			isSilent := quiet(m) >= op.Silent
 			if isSilent {
@@ -97,7 +97,7 @@
 		since := quiet(m)
 		if m.Zone >= 0 && !l.cutUntil[m.Zone].IsZero() {
 			if l.cutUntil[m.Zone].Equal(now) {
-				if m.Serves() && !l.n.settings.Controls(l.zones[m.Zone]) {
+				if m.Serves() && !l.node.settings.Controls(l.zones[m.Zone]) {
 					if !m.Known && zoneSilent[m.Zone] == zoneKnown[m.Zone] {
 						return since >= op.Abandon
 					}
@@ -118,18 +118,18 @@
 	l.fleet.Each(func(m *fleet.Machine) {
 		why := ""
 		switch {
-		case m.Retire != "":
+		case m.RetireReason != "":
 		case m.Failed:
 			why = "failed"
 		case m.Sick:
 			why = "faulty"
-		case !m.Known && len(m.Holds) == 0 && now.Sub(m.Created) > l.bootLimit(m):
+		case !m.Known && len(m.Assignments) == 0 && now.Sub(m.Created) > l.bootLimit(m):
 			why = "never came up"
-		case (m.Known || len(m.Holds) > 0) && lost(m):
+		case (m.Known || len(m.Assignments) > 0) && lost(m):
 			why = "silent"
 		case !m.Recall.IsZero() && now.After(m.Recall) && quiet(m) >= op.Silent:
 			why = "taken back"
-		case m.Known && len(m.Holds) == 0 && (m.Type < 0 || m.Zone < 0):
+		case m.Known && len(m.Assignments) == 0 && (m.Type < 0 || m.Zone < 0):
 			why = "of no known type or zone"
 		case !m.DeafSince.IsZero() && now.Sub(m.DeafSince) >= deafPatience:
 			why = "gets no commands"
@@ -140,7 +140,7 @@
 	})
 }
 
-func (l *lead) bootLimit(m *fleet.Machine) time.Duration {
+func (l *leader) bootLimit(m *fleet.Machine) time.Duration {
 	if m.Type < 0 {
 		return time.Minute
 	}
@@ -149,7 +149,7 @@
 
 // overdueBoot tells whether a machine has taken longer to boot than any that is
 // in order. It may never come up, so what it was rented for is rented again.
-func (l *lead) overdueBoot(m *fleet.Machine, now time.Time) bool {
+func (l *leader) overdueBoot(m *fleet.Machine, now time.Time) bool {
 	return m.Type >= 0 && now.Sub(m.Created).Seconds() > bootOverdue*l.types[m.Type].BootS
 }
 
@@ -157,13 +157,13 @@
 // leader first gathers reports, as most that it does not know yet are there and only have
 // to be told, but not until it is too late to return the others (rough of
 // kapana-orders-grown: 4 and 7 sound machines given up at elections).
-func (l *lead) overdueCancel(m *fleet.Machine, now time.Time) bool {
+func (l *leader) overdueCancel(m *fleet.Machine, now time.Time) bool {
 	leeway := cancelLeeway
-	if now.Sub(l.started) < l.n.operator.Gather {
+	if now.Sub(l.started) < l.node.operator.Gather {
 		leeway = cancelLast
 	}
-	limit := time.Duration(leeway * float64(l.n.settings.Workers.Cancel))
-	for _, h := range m.Holds {
+	limit := time.Duration(leeway * float64(l.node.settings.Workers.Cancel))
+	for _, h := range m.Assignments {
 		if h.Job.Cancelled && now.Sub(h.Job.CancelledAt) > limit {
 			return true
 		}
@@ -172,7 +172,7 @@
 }
 
 // givenUp returns the names of machines to return, as many as one request takes.
-func (l *lead) givenUp(which func(*fleet.Machine) bool) (names []string) {
+func (l *leader) givenUp(which func(*fleet.Machine) bool) (names []string) {
 	l.fleet.Each(func(m *fleet.Machine) {
 		if which(m) && len(names) < cloud.MaxReturn {
 			names = append(names, m.Name)
--- a/internal/controller/sizing.go
+++ b/internal/controller/sizing.go
@@ -17,12 +17,12 @@
 
 // demand returns the tasks that should get a machine soon, the most important
 // first, and behind them the reserve, and says why. Running tasks are left out.
-func (l *lead) demand(now time.Time) (out []rental.Demand, why string) {
+func (l *leader) demand(now time.Time) (out []rental.Demand, why string) {
 	used := l.teams()
 	var whole, arrays []*ledger.Job
-	l.book.Jobs(func(j *ledger.Job) {
+	l.jobs.Jobs(func(j *ledger.Job) {
 		switch {
-		case l.jobs[j].team < 0 || j.WaitingTasks() == 0:
+		case l.jobStates[j].team < 0 || j.WaitingTasks() == 0:
 		case j.Spec.Shape == job.Array:
 			arrays = append(arrays, j)
 		default:
@@ -41,7 +41,7 @@
 	byImportance(whole)
 	byImportance(arrays)
 	add := func(j *ledger.Job, n int) int {
-		st := l.jobs[j]
+		st := l.jobStates[j]
 		team := &used[st.team]
 		n = within(n, team.CPUsMax-team.CPUsUsed, j.Spec.CPUs)
 		n = within(n, team.GPUsMax-team.GPUsUsed, j.Spec.GPUs)
@@ -54,7 +54,7 @@
 		return n
 	}
 	for _, j := range whole {
-		switch team := &used[l.jobs[j].team]; {
+		switch team := &used[l.jobStates[j].team]; {
 		case j.Gang() && j.LiveTasks() > 0:
 			// It starts anew where it was, or as a whole later.
 		case j.Gang() && within(j.Spec.Tasks, team.CPUsMax-team.CPUsUsed, j.Spec.CPUs) < j.Spec.Tasks:
@@ -75,12 +75,12 @@
 	}
 	turns, usual := l.arrayCPUs(taken, used, now)
 	why = fmt.Sprintf("%d tasks without room, %.0f CPUs more for arrays, room for %d of services to come",
-		l.without, math.Max(0, turns), reserved)
+		l.unplaced, math.Max(0, turns), reserved)
 	for _, j := range arrays {
 		if turns <= 0 {
 			break
 		}
-		each := size(l.jobs[j].need)
+		each := size(l.jobStates[j].need)
 		n := float64(add(j, min(l.wanted(j), int(math.Ceil(turns/each)))))
 		turns -= n * each
 		usual -= n * each
@@ -117,7 +117,7 @@
 //
 // It counts CPUs, not tasks: what many tiny tasks wait for would be rented in CPUs as soon
 // as those of another array stand in the line before them (TestSmallTasksRentLittle).
-func (l *lead) arrayCPUs(taken float64, teams []placement.Team, now time.Time) (need, usual float64) {
+func (l *leader) arrayCPUs(taken float64, teams []placement.Team, now time.Time) (need, usual float64) {
 	live, boot := 0.0, 0.0
 	var works []rental.Work
 	room := make([]float64, len(teams))
@@ -127,17 +127,17 @@
 	for i := range l.types {
 		boot = math.Max(boot, l.types[i].BootS)
 	}
-	l.book.Jobs(func(j *ledger.Job) {
-		if j.Spec.Shape != job.Array || j.Cancelled || l.jobs[j].team < 0 {
+	l.jobs.Jobs(func(j *ledger.Job) {
+		if j.Spec.Shape != job.Array || j.Cancelled || l.jobStates[j].team < 0 {
 			return
 		}
-		each := size(l.jobs[j].need)
+		each := size(l.jobStates[j].need)
 		at := float64(j.LiveTasks()) * each
 		live += at
 		run := l.expect(j) + l.fetchSeconds(j)
 		waits := float64(l.wanted(j)) * each
 		works = append(works, rental.Work{Due: l.dueIn(j, now).Seconds(), Run: run, Seconds: run * (waits + at/2)})
-		if t := l.jobs[j].team; j.Spec.CPUs > 0 {
+		if t := l.jobStates[j].team; j.Spec.CPUs > 0 {
 			may := math.Min(waits, math.Max(0, room[t]))
 			room[t] -= may
 			works[len(works)-1].Waits = run * may
@@ -145,7 +145,7 @@
 	})
 	free := 0.0
 	l.fleet.Each(func(m *fleet.Machine) {
-		if m.Type >= 0 && m.Retire == "" && !m.Sick && (m.Known || !l.overdueBoot(m, now)) {
+		if m.Type >= 0 && m.RetireReason == "" && !m.Sick && (m.Known || !l.overdueBoot(m, now)) {
 			v, _ := l.view(m, now)
 			free += v.Free[placement.CPU]
 		}
@@ -159,7 +159,7 @@
 }
 
 // fetchSeconds is about how long a machine takes to fetch a job's image.
-func (l *lead) fetchSeconds(j *ledger.Job) float64 {
+func (l *leader) fetchSeconds(j *ledger.Job) float64 {
 	rate := 0.0
 	for i := range l.types {
 		rate = math.Max(rate, l.types[i].FetchRate)
@@ -172,10 +172,10 @@
 
 // dueIn returns the time until a job should be complete, by its own deadline or
 // by its class's objective.
-func (l *lead) dueIn(j *ledger.Job, now time.Time) time.Duration {
+func (l *leader) dueIn(j *ledger.Job, now time.Time) time.Duration {
 	due := time.Duration(j.Spec.DueS * float64(time.Second))
 	if due == 0 {
-		for _, o := range l.n.settings.Objectives {
+		for _, o := range l.node.settings.Objectives {
 			if o.Class == j.Spec.Class && o.Within > 0 && (due == 0 || o.Within < due) && o.Kind != config.KindWait {
 				due = o.Within
 			}
@@ -189,10 +189,10 @@
 
 // reserve keeps room free for services to come, which start at once or miss
 // their aim: a share of what services use, in tasks of the largest size seen.
-func (l *lead) reserve() []rental.Demand {
+func (l *leader) reserve() []rental.Demand {
 	var cpus float64
 	var typical *ledger.Job
-	l.book.Jobs(func(j *ledger.Job) {
+	l.jobs.Jobs(func(j *ledger.Job) {
 		if j.Spec.Shape == job.Service && !j.Cancelled {
 			cpus += float64(j.Spec.Tasks) * j.Spec.CPUs
 			if typical == nil || j.Spec.CPUs > typical.Spec.CPUs {
@@ -203,6 +203,6 @@
 	if typical == nil || typical.Spec.CPUs <= 0 {
 		return nil
 	}
-	n := int(math.Ceil(cpus * l.n.operator.Reserve / typical.Spec.CPUs))
-	return []rental.Demand{{Need: l.jobs[typical].need, Types: l.jobs[typical].types, Zone: -1, Tasks: n}}
+	n := int(math.Ceil(cpus * l.node.operator.Reserve / typical.Spec.CPUs))
+	return []rental.Demand{{Need: l.jobStates[typical].need, Types: l.jobStates[typical].types, Zone: -1, Tasks: n}}
 }
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -13,36 +13,36 @@
 )
 
 // write puts the next batch in flight.
-func (l *lead) write(now time.Time, depose context.CancelCauseFunc) {
-	if l.writing || !l.reign.Valid() {
+func (l *leader) write(now time.Time, depose context.CancelCauseFunc) {
+	if l.writing || !l.term.Valid() {
 		return
 	}
 	if l.needRaise(now) {
 		l.raise(now)
 		return
 	}
-	ops := min(l.n.settings.State.TxnOps, l.n.store.Writable(statestore.Work))
-	fence := l.reign.Fence()
-	batch := l.book.NextBatch(fence, ops, l.n.store.Writable(statestore.Rest), int(l.n.valueBytes.Load()), now)
+	ops := min(l.node.settings.State.TxnOps, l.node.store.Writable(statestore.Work))
+	fence := l.term.Fence()
+	batch := l.jobs.NextBatch(fence, ops, l.node.store.Writable(statestore.Rest), int(l.node.valueBytes.Load()), now)
 	if batch == nil {
 		l.clearOrphans(fence)
 		return
 	}
 	l.writing = true
 	l.spawn(func() {
-		rev, err := l.n.store.Txn(l.ctx, batch.Conds, batch.Ops, statestore.Work)
+		rev, err := l.node.store.Txn(l.ctx, batch.Conds, batch.Ops, statestore.Work)
 		l.post(func() { l.written(batch, rev, err, fence, depose) })
 	})
 }
 
-func (l *lead) written(batch *ledger.Batch, rev uint64, err error, fence statestore.Cond, depose context.CancelCauseFunc) {
+func (l *leader) written(batch *ledger.Batch, rev uint64, err error, fence statestore.Cond, depose context.CancelCauseFunc) {
 	now := time.Now()
 	l.writing = false
 	if err == nil {
-		starts, ended := l.book.Committed(batch, rev)
+		starts, ended := l.jobs.Committed(batch, rev)
 		for _, a := range starts {
 			if a.Job.Cancelled {
-				continue // the sweep halts it; it was never sent
+				continue // stopAttempts halts it; it was never sent
 			}
 			l.machine(a.Machine, now).Kick()
 		}
@@ -51,7 +51,7 @@
 		}
 		return
 	}
-	l.book.Failed(batch)
+	l.jobs.Failed(batch)
 	var conflict *statestore.ConflictError
 	if !errors.As(err, &conflict) {
 		slog.Debug("batch not written", "err", err)
@@ -64,7 +64,7 @@
 	}
 	slog.Debug("batch met a conflict", "keys", conflict.Keys)
 	for _, key := range conflict.Keys {
-		if key == fence.Key && l.reign.Fence() == fence {
+		if key == fence.Key && l.term.Fence() == fence {
 			depose(errDeposed)
 			return
 		}
@@ -75,7 +75,7 @@
 			if key == fence.Key {
 				continue
 			}
-			it, err := l.n.store.Get(l.ctx, key, statestore.User)
+			it, err := l.node.store.Get(l.ctx, key, statestore.User)
 			if err != nil && !errors.Is(err, statestore.ErrNotFound) {
 				slog.Debug("conflict not read", "key", key, "err", err)
 				continue // the next try meets it again
@@ -87,31 +87,31 @@
 }
 
 // resolve learns what stands under a key whose condition failed.
-func (l *lead) resolve(key string, it statestore.Item, exists bool) {
+func (l *leader) resolve(key string, it statestore.Item, exists bool) {
 	id, chunk, ok := ledger.SplitKey(key)
 	switch {
 	case !ok:
 	case chunk >= 0:
-		l.book.ChunkRev(id, chunk, it.Rev)
+		l.jobs.ChunkRev(id, chunk, it.Rev)
 	case exists:
 		l.onJob(it.Value, it.Rev)
 	default:
-		if j := l.book.Gone(id, false); j != nil {
+		if j := l.jobs.Gone(id, false); j != nil {
 			l.ended(j)
 		}
 	}
 }
 
 // ended drops what the leader holds of a job whose end is recorded.
-func (l *lead) ended(j *ledger.Job) {
+func (l *leader) ended(j *ledger.Job) {
 	l.replan = true
-	delete(l.jobs, j)
+	delete(l.jobStates, j)
 	j.Attempts(func(a *ledger.Attempt) { l.machine(a.Machine, time.Now()).Release(a) })
 	l.orphans = append(l.orphans, j.OrphanOps(1<<20)...)
 }
 
-func (l *lead) clearOrphans(fence statestore.Cond) {
-	n := min(len(l.orphans), l.n.settings.State.TxnOps, l.n.store.Writable(statestore.Rest))
+func (l *leader) clearOrphans(fence statestore.Cond) {
+	n := min(len(l.orphans), l.node.settings.State.TxnOps, l.node.store.Writable(statestore.Rest))
 	if n == 0 {
 		return
 	}
@@ -119,7 +119,7 @@
 	l.orphans = l.orphans[n:]
 	l.writing = true
 	l.spawn(func() {
-		_, err := l.n.store.Txn(l.ctx, []statestore.Cond{fence}, ops, statestore.Rest)
+		_, err := l.node.store.Txn(l.ctx, []statestore.Cond{fence}, ops, statestore.Rest)
 		l.post(func() {
 			l.writing = false
 			if err != nil {
@@ -131,7 +131,7 @@
 
 // needRaise tells whether a new term is needed: to prove that starts which were
 // never answered cannot act any more, or to let exited tasks be forgotten.
-func (l *lead) needRaise(now time.Time) bool {
+func (l *leader) needRaise(now time.Time) bool {
 	if now.Sub(l.raised) < raiseGap || now.Sub(l.started) < raiseGap || now.Sub(l.raiseAsked) < time.Second {
 		return false
 	}
@@ -142,8 +142,8 @@
 		if m.Via == "" && m.Retained() > maxExited {
 			need = true
 		}
-		for _, h := range m.Holds {
-			if h.Stopping && h.Missing >= 2 && ledger.TryTerm(h.Try) == l.reign.Term() {
+		for _, h := range m.Assignments {
+			if h.Stopping && h.Missing >= 2 && ledger.TryTerm(h.Try) == l.term.Number() {
 				need = true
 			}
 		}
@@ -151,19 +151,19 @@
 	return need
 }
 
-func (l *lead) raise(now time.Time) {
+func (l *leader) raise(now time.Time) {
 	l.raised = now
 	l.writing = true
 	l.spawn(func() {
-		err := l.reign.Raise(l.ctx)
+		err := l.term.Raise(l.ctx)
 		if err != nil {
 			slog.Info("term not raised", "err", err)
 		} else {
-			slog.Info("term raised", "term", l.reign.Term())
+			slog.Info("term raised", "term", l.term.Number())
 		}
 		l.post(func() {
 			l.writing = false
-			l.book.Renumber(l.reign.Term(), func(a *ledger.Attempt, was uint64) {
+			l.jobs.Renumber(l.term.Number(), func(a *ledger.Attempt, was uint64) {
 				l.machine(a.Machine, time.Now()).Renumber(a, was)
 			})
 		})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,9 +104,9 @@
 	Cause  string
 }
 
-// Hold is an attempt on a machine, from its start being decided until there is
+// Assignment is an attempt on a machine, from its start being decided until there is
 // proof that it is gone.
-type Hold struct {
+type Assignment struct {
 	*ledger.Attempt
 	Since    time.Time // decided, or found by a new leader
 	Running  time.Time // first reported running; zero: not yet
@@ -132,17 +132,17 @@
 	Created   time.Time // when this leader first knew of it
 	Recall    time.Time // when the cloud takes it away; zero: no notice
 	Seen      map[key]Seen
-	Holds     map[key]*Hold
+	Assignments     map[key]*Assignment
 	Errors    int                 // failed attempts since the last that was done
 	Blamed    map[string]struct{} // jobs whose tasks failed since then
 	Sick      bool
 	Pushing   bool
-	Reached   time.Time // when the leader last reached out to it, unheard
+	Probed   time.Time // when the leader last asked directly it, unheard
 	Unreached bool      // it did not answer
 	Via       string    // node through which it is heard, if not directly
 	Failed    bool      // the cloud lists it as failed
 	Booting   bool      // the cloud lists it as starting and it has not reported
-	Retire    string    // why it is being returned, empty: it is not
+	RetireReason    string    // why it is being returned, empty: it is not
 	Gone      bool
 
 	Images    Images
@@ -155,9 +155,9 @@
 	answers   answers
 }
 
-// Outcome is the proof that a hold has ended.
+// Outcome is the proof that an assignment has ended.
 type Outcome struct {
-	Hold  *Hold
+	Assignment  *Assignment
 	Cause string
 }
 
@@ -208,7 +208,7 @@
 	}
 	f.free = i + 1
 	m := &Machine{Index: i, Name: name, Created: now, IdleSince: now,
-		Seen: map[key]Seen{}, Holds: map[key]*Hold{}, Blamed: map[string]struct{}{}}
+		Seen: map[key]Seen{}, Assignments: map[key]*Assignment{}, Blamed: map[string]struct{}{}}
 	f.byName[name] = m
 	if i == len(f.all) {
 		f.all = append(f.all, m)
@@ -224,10 +224,10 @@
 	return ok
 }
 
-// Hold books an attempt on its machine.
-func (m *Machine) Hold(a *ledger.Attempt, now time.Time) *Hold {
-	h := &Hold{Attempt: a, Since: now}
-	m.Holds[key{a.Name(), a.Try}] = h
+// Assign books an attempt on its machine.
+func (m *Machine) Assign(a *ledger.Attempt, now time.Time) *Assignment {
+	h := &Assignment{Attempt: a, Since: now}
+	m.Assignments[key{a.Name(), a.Try}] = h
 	m.Version++
 	return h
 }
@@ -235,7 +235,7 @@
 // Release forgets an attempt that was never sent.
 func (m *Machine) Release(a *ledger.Attempt) {
 	k := key{a.Name(), a.Try}
-	delete(m.Holds, k)
+	delete(m.Assignments, k)
 	if s, listed := m.Seen[k]; listed && s.Status != Exited {
 		m.foreign = true
 	}
@@ -245,15 +245,15 @@
 // Renumber books an attempt that was never sent under its new number.
 func (m *Machine) Renumber(a *ledger.Attempt, was uint64) {
 	old := key{a.Name(), was}
-	if h := m.Holds[old]; h != nil {
-		delete(m.Holds, old)
-		m.Holds[key{a.Name(), a.Try}] = h
+	if h := m.Assignments[old]; h != nil {
+		delete(m.Assignments, old)
+		m.Assignments[key{a.Name(), a.Try}] = h
 		m.Version++
 	}
 }
 
-// HoldOf returns the hold of an attempt, or nil.
-func (m *Machine) HoldOf(a *ledger.Attempt) *Hold { return m.Holds[key{a.Name(), a.Try}] }
+// AssignmentOf returns the assignment of an attempt, or nil.
+func (m *Machine) AssignmentOf(a *ledger.Attempt) *Assignment { return m.Assignments[key{a.Name(), a.Try}] }
 
 // Foreign tells whether the newest report listed a live attempt that was booked
 // nowhere: it takes room all the same.
@@ -261,7 +261,7 @@
 
 // Serves tells whether a service's task is booked on the machine.
 func (m *Machine) Serves() bool {
-	for _, h := range m.Holds {
+	for _, h := range m.Assignments {
 		if h.Job.Spec.Shape == job.Service {
 			return true
 		}
@@ -310,23 +310,23 @@
 	for _, h := range m.Sorted() {
 		out = append(out, Outcome{h, CauseLost})
 	}
-	m.Holds = nil
+	m.Assignments = nil
 	m.Seen = nil
 	m.Version++
 	return out
 }
 
-// Sorted returns the holds in a fixed order, so that runs repeat.
-func (m *Machine) Sorted() []*Hold {
-	out := make([]*Hold, 0, len(m.Holds))
-	for _, h := range m.Holds {
+// Sorted returns the assignments in a fixed order, so that runs repeat.
+func (m *Machine) Sorted() []*Assignment {
+	out := make([]*Assignment, 0, len(m.Assignments))
+	for _, h := range m.Assignments {
 		out = append(out, h)
 	}
 	slices.SortFunc(out, compare)
 	return out
 }
 
-func compare(a, b *Hold) int {
+func compare(a, b *Assignment) int {
 	// The tasks of a gang share a try.
 	return cmp.Or(cmp.Compare(a.Try, b.Try), cmp.Compare(a.Task, b.Task))
 }
@@ -353,7 +353,7 @@
 	for _, t := range r.Tasks {
 		m.Seen[key{t.Task, t.Try}] = Seen{t.Status, t.Cause}
 	}
-	for k, h := range m.Holds {
+	for k, h := range m.Assignments {
 		s, listed := m.Seen[k]
 		switch {
 		case h.Session < r.Session:
@@ -372,19 +372,19 @@
 			h.Missing++
 			continue
 		}
-		delete(m.Holds, k)
+		delete(m.Assignments, k)
 		m.Version++
 	}
 	foreign := false
 	for k, s := range m.Seen {
-		foreign = foreign || s.Status != Exited && m.Holds[k] == nil
+		foreign = foreign || s.Status != Exited && m.Assignments[k] == nil
 	}
 	if foreign != m.foreign {
 		m.foreign = foreign
 		m.Version++
 	}
 	m.listen(r, known, session, token, lease, now)
-	slices.SortFunc(out, func(a, b Outcome) int { return compare(a.Hold, b.Hold) })
+	slices.SortFunc(out, func(a, b Outcome) int { return compare(a.Assignment, b.Assignment) })
 	return out, true
 }
 
@@ -436,7 +436,7 @@
 	if known && r.Session > session && now.Sub(m.answers.last) < lease/2 && now.Sub(m.answers.since) >= lease {
 		deaf = true
 	}
-	for k, h := range m.Holds {
+	for k, h := range m.Assignments {
 		if _, listed := m.Seen[k]; !listed && m.Via == "" && h.Missing >= deafReports && !h.Sent.IsZero() && now.Sub(h.Sent) >= deafAfter {
 			deaf = true
 		}
@@ -451,8 +451,8 @@
 // exited task is only forgotten once settled says that its result is durable.
 func (m *Machine) Orders(token uint64, limit int, settled func(task string) bool, now time.Time) []Order {
 	m.urgent = false
-	var need []*Hold
-	for k, h := range m.Holds {
+	var need []*Assignment
+	for k, h := range m.Assignments {
 		_, listed := m.Seen[k]
 		switch {
 		case h.Stopping && (listed || !h.Sent.IsZero()):
@@ -483,12 +483,12 @@
 		if len(out) == limit {
 			break
 		}
-		if m.Holds[k] != nil {
+		if m.Assignments[k] != nil {
 			continue
 		}
 		switch {
 		case s.Status != Exited:
-			// On the machine but in no book, so it must not be.
+			// On the machine but in no record, so it must not be.
 			zero := 0.0
 			out = append(out, Order{"halt", k.task, k.try, &zero})
 		case ledger.TryTerm(k.try) < m.Token && settled(k.task):
@@ -522,8 +522,8 @@
 	return r
 }
 
-// Stop asks for a hold to be halted.
-func (m *Machine) Stop(h *Hold, windDown float64) {
+// Stop asks for an assigned attempt to be halted.
+func (m *Machine) Stop(h *Assignment, windDown float64) {
 	if h.Stopping && h.WindDown <= windDown {
 		return
 	}
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -58,7 +58,7 @@
 // maxOps changes, fenced by the leader's term, or returns nil. What can wait is
 // left out once there are spareOps, and what is larger than the state service takes for
 // as long as it is. One batch is in flight at a time.
-func (b *Book) NextBatch(fence statestore.Cond, maxOps, spareOps, valueBytes int, now time.Time) *Batch {
+func (b *Jobs) NextBatch(fence statestore.Cond, maxOps, spareOps, valueBytes int, now time.Time) *Batch {
 	if bt := b.nextLayout(fence, maxOps, valueBytes); bt != nil {
 		return bt
 	}
@@ -198,7 +198,7 @@
 
 // Backlog returns how many starts wait to be written and in how many chunks, and how
 // many ends of jobs do.
-func (b *Book) Backlog() (starts, chunks, ends int) {
+func (b *Jobs) Backlog() (starts, chunks, ends int) {
 	for j := range b.dirty {
 		if j.over() {
 			ends++
@@ -220,7 +220,7 @@
 
 // Committed takes the news that the batch was applied at rev. It returns the
 // attempts that may now be sent and the jobs that have ended.
-func (b *Book) Committed(bt *Batch, rev uint64) (starts []*Attempt, ended []*Job) {
+func (b *Jobs) Committed(bt *Batch, rev uint64) (starts []*Attempt, ended []*Job) {
 	for _, w := range bt.chunks {
 		w.c.rev = rev
 		w.j.sendable = unknown
@@ -258,7 +258,7 @@
 // Failed takes the news that the batch was not applied, or may not have been.
 // Everything in it is written again, under the same conditions: of two
 // transactions with the same condition at most one is ever applied.
-func (b *Book) Failed(bt *Batch) {
+func (b *Jobs) Failed(bt *Batch) {
 	for _, w := range bt.chunks {
 		w.c.dirty = true
 		w.c.starts += len(w.starts)
@@ -269,7 +269,7 @@
 // ChunkRev takes the revision found when a chunk's condition has failed: an
 // unanswered write of ours was applied after all. Only this leader's term can
 // have written it, so memory is the newer state.
-func (b *Book) ChunkRev(id string, n int, rev uint64) {
+func (b *Jobs) ChunkRev(id string, n int, rev uint64) {
 	if j := b.jobs[id]; j != nil && j.chunks[n-j.record.Base] != nil {
 		j.chunks[n-j.record.Base].rev = rev
 	}
@@ -279,7 +279,7 @@
 // was recorded, by a transaction that had no answer. Whether that deleted all of the job's
 // chunks is not known, so their deletion is left to OrphanOps; otherwise they stayed until
 // another leader read the records (TestLimitsLoweredUnderLoad).
-func (b *Book) Gone(id string, byWatch bool) *Job {
+func (b *Jobs) Gone(id string, byWatch bool) *Job {
 	if byWatch {
 		delete(b.ended, id)
 	} else {
@@ -300,13 +300,13 @@
 	j.orphans = append(j.orphans, j.old...)
 }
 
-// drop takes the job that stands under an ID out of the book and returns it. It need
+// drop takes the job that stands under an ID out of the list and returns it. It need
 // not be the one that has ended: a read that began before the end and is answered
 // after the watch has told of it brings the job back. Left among what is to be
 // written, such a job was written again and again, each time in vain, and used up the
 // rate that the ends of others waited for (inc-1671: 175 cancelled jobs not ended, 105
 // empty machines not returned).
-func (b *Book) drop(id string) *Job {
+func (b *Jobs) drop(id string) *Job {
 	j := b.jobs[id]
 	if j != nil {
 		delete(b.jobs, id)
@@ -317,7 +317,7 @@
 
 // DropUnrecorded takes back the attempts of a cancelled job that no batch has
 // recorded: their starts were never sent.
-func (b *Book) DropUnrecorded(j *Job, now time.Time) (dropped []*Attempt) {
+func (b *Jobs) DropUnrecorded(j *Job, now time.Time) (dropped []*Attempt) {
 	for _, a := range j.live {
 		if !a.Recorded {
 			dropped = append(dropped, a)
@@ -329,7 +329,7 @@
 	return dropped
 }
 
-func (b *Book) clean(j *Job) {
+func (b *Jobs) clean(j *Job) {
 	if j.over() {
 		return
 	}
--- a/internal/ledger/book.go
+++ b/internal/ledger/jobs.go
@@ -257,8 +257,8 @@
 	starts int       // that it holds and that are not yet recorded
 }
 
-// Book is the leader's copy of all unfinished jobs.
-type Book struct {
+// Jobs is the leader's copy of all unfinished jobs.
+type Jobs struct {
 	jobs  map[string]*Job
 	dirty map[*Job]struct{}
 	ended map[string]struct{} // until the watch has seen them go
@@ -266,23 +266,23 @@
 	ends  uint64 // of attempts, so far
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book {
-	return &Book{jobs: map[string]*Job{}, dirty: map[*Job]struct{}{}, ended: map[string]struct{}{}}
+// NewJobs returns an empty list.
+func NewJobs() *Jobs {
+	return &Jobs{jobs: map[string]*Job{}, dirty: map[*Job]struct{}{}, ended: map[string]struct{}{}}
 }
 
 // Job returns an unfinished job, or nil.
-func (b *Book) Job(id string) *Job { return b.jobs[id] }
+func (b *Jobs) Job(id string) *Job { return b.jobs[id] }
 
 // Jobs calls f for each unfinished job, in no order.
-func (b *Book) Jobs(f func(*Job)) {
+func (b *Jobs) Jobs(f func(*Job)) {
 	for _, j := range b.jobs {
 		f(j)
 	}
 }
 
 // Len returns how many jobs are unfinished.
-func (b *Book) Len() int { return len(b.jobs) }
+func (b *Jobs) Len() int { return len(b.jobs) }
 
 // DecodeRecord reads the value of a job's key.
 func DecodeRecord(value []byte) (Record, error) {
@@ -308,7 +308,7 @@
 
 // PutJob takes a job's record as read at rev. It returns the job and whether
 // it is new or newly cancelled.
-func (b *Book) PutJob(value []byte, rev uint64) (*Job, bool, error) {
+func (b *Jobs) PutJob(value []byte, rev uint64) (*Job, bool, error) {
 	rec, err := DecodeRecord(value)
 	if err != nil {
 		return nil, false, err
@@ -344,7 +344,7 @@
 // Cancel takes the word of another node that a job is cancelled, durably, and returns
 // the job if that is news. The revision of its record is learnt later: until then what is
 // written of the job meets a conflict.
-func (b *Book) Cancel(id string, now time.Time) *Job {
+func (b *Jobs) Cancel(id string, now time.Time) *Job {
 	j := b.jobs[id]
 	if j == nil || j.Cancelled {
 		return nil
@@ -355,7 +355,7 @@
 }
 
 // PutChunk takes a chunk's value as a new leader reads it.
-func (b *Book) PutChunk(id string, n int, value []byte, rev uint64) error {
+func (b *Jobs) PutChunk(id string, n int, value []byte, rev uint64) error {
 	j := b.jobs[id]
 	if j == nil {
 		return fmt.Errorf("ledger: chunk %s/%d without a job", id, n)
@@ -408,7 +408,7 @@
 
 // Loaded is called once a new leader has read everything; it ends jobs of
 // which nothing is left to do.
-func (b *Book) Loaded() {
+func (b *Jobs) Loaded() {
 	for _, j := range b.jobs {
 		if j.record.Base != 0 {
 			j.layAll(j.At)
@@ -427,13 +427,13 @@
 
 // NextTry returns an attempt number never used before. The tasks of a gang that
 // start together share one; of a task, no two attempts have the same.
-func (b *Book) NextTry(term uint64) uint64 {
+func (b *Jobs) NextTry(term uint64) uint64 {
 	b.seq++
 	return term<<termShift | b.seq
 }
 
 // Start makes an attempt. It must not be sent before a batch has recorded it.
-func (b *Book) Start(j *Job, task int, try uint64, machine string, session uint64, now time.Time) *Attempt {
+func (b *Jobs) Start(j *Job, task int, try uint64, machine string, session uint64, now time.Time) *Attempt {
 	if j.tasks[task] != Waiting || j.Cancelled {
 		panic(fmt.Sprintf("ledger: start of %s/%d in state %d", j.Spec.ID, task, j.tasks[task]))
 	}
@@ -453,7 +453,7 @@
 // a new term, and tells of each with the number it had. It guards against starts that
 // wait to be written when the leader takes a new term: under their old numbers they
 // would never be sent, and hold room until that is known (inc-bc39).
-func (b *Book) Renumber(term uint64, told func(a *Attempt, was uint64)) {
+func (b *Jobs) Renumber(term uint64, told func(a *Attempt, was uint64)) {
 	for j := range b.dirty {
 		j.sendable = unknown
 		tries := map[uint64]uint64{} // the tasks of a gang share one
@@ -472,7 +472,7 @@
 }
 
 // End takes an attempt that is proven gone: done, or its task waits again.
-func (b *Book) End(a *Attempt, done bool, now time.Time) {
+func (b *Jobs) End(a *Attempt, done bool, now time.Time) {
 	j := a.Job
 	if j.live[a.Task] != a {
 		return
@@ -550,7 +550,7 @@
 	return true
 }
 
-func (b *Book) touch(j *Job, task int, now time.Time) *chunk {
+func (b *Jobs) touch(j *Job, task int, now time.Time) *chunk {
 	n := task / j.record.Chunk
 	c := j.chunks[n]
 	if c == nil {
@@ -571,7 +571,7 @@
 	return j.done == len(j.tasks) || j.Cancelled && len(j.live) == 0
 }
 
-func (b *Book) checkEnd(j *Job) {
+func (b *Jobs) checkEnd(j *Job) {
 	if j.over() {
 		b.dirty[j] = struct{}{}
 	}
--- a/internal/ledger/layout.go
+++ b/internal/ledger/layout.go
@@ -27,7 +27,7 @@
 // by now: a chunk of theirs could be written again only once most of its tasks had ended. A
 // replica that was lost would never start again, and of a large array most tasks waited
 // for minutes while machines had room (an upgrade day of our own on omaruru-fares-next).
-func (b *Book) nextLayout(fence statestore.Cond, maxOps, valueBytes int) *Batch {
+func (b *Jobs) nextLayout(fence statestore.Cond, maxOps, valueBytes int) *Batch {
 	size := ChunkSize(valueBytes)
 	var next *Job
 	for j := range b.dirty {
@@ -59,7 +59,7 @@
 }
 
 // layOut takes a new layout, of which no chunk is known to be written yet.
-func (b *Book) layOut(j *Job, size int, since time.Time) {
+func (b *Jobs) layOut(j *Job, size int, since time.Time) {
 	for n := range j.chunks {
 		j.old = append(j.old, n)
 	}
@@ -84,7 +84,7 @@
 }
 
 // laidOut takes the news that a layout was written at rev.
-func (b *Book) laidOut(w *layoutWrite, rev uint64) {
+func (b *Jobs) laidOut(w *layoutWrite, rev uint64) {
 	j := w.j
 	if j.Rev >= rev {
 		return // the watch was first
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -23,7 +23,7 @@
 
 // Paths served to other controllers.
 const (
-	beatPath    = "/beat"
+	heartbeatPath    = "/beat"
 	changedPath = "/changed"
 )
 
@@ -41,7 +41,7 @@
 	Known   func() (leader string, term uint64) // what this node knows
 	Learned func(leader string, term uint64)    // what another node knows
 	Changed func(jobs []string)                 // jobs changed elsewhere
-	Strays  func() int                          // machines that came to this node, which does not lead
+	Redirected  func() int                          // machines that came to this node, which does not lead
 
 	Served    func() bool            // whether the state service serves this node
 	Register  *cancellation.Register // of cancelled jobs
@@ -50,28 +50,28 @@
 	LearnGone func([]*Attempt)       // the same of another node
 
 	mu      sync.Mutex
-	rounds  map[string]*round        // beats to come for which somebody waits
+	rounds  map[string]*round        // heartbeats to come for which somebody waits
 	wake    map[string]chan struct{} // sends one at once
 	began   time.Time
 	clients map[string]*wire.Client
 	heard   map[string]time.Time
 	leading map[string]time.Time // when a node last said that it leads itself
-	strays  map[string]int       // machines that came to a node which does not lead
+	redirected  map[string]int       // machines that came to a node which does not lead
 	served  map[string]bool      // whether the state service served a node when last heard
 	gangs   map[string]bool      // whether a node's version ran gangs when last heard
 }
 
-// round is one beat to come.
+// round is one heartbeat to come.
 type round struct {
 	done chan struct{} // closed once it was answered or has failed
 }
 
 const (
-	beatEvery = time.Second
+	heartbeatEvery = time.Second
 	timeout   = 800 * time.Millisecond
 )
 
-// Run sends beats until ctx ends.
+// Run sends heartbeats until ctx ends.
 func (n *Net) Run(ctx context.Context) {
 	n.mu.Lock()
 	n.began = time.Now()
@@ -90,14 +90,14 @@
 				r := n.rounds[o.Node]
 				delete(n.rounds, o.Node)
 				n.mu.Unlock()
-				n.beat(ctx, o)
+				n.sendHeartbeat(ctx, o)
 				if r != nil {
 					close(r.done)
 				}
 				select {
 				case <-ctx.Done():
 				case <-n.wake[o.Node]:
-				case <-time.After(beatEvery*3/4 + rand.N(beatEvery/2)):
+				case <-time.After(heartbeatEvery*3/4 + rand.N(heartbeatEvery/2)):
 				}
 			}
 		}()
@@ -106,7 +106,7 @@
 }
 
 // Spread sees to it that a majority of the controllers holds a job's cancellation, and
-// tells whether it does. Those that wait at once share a beat.
+// tells whether it does. Those that wait at once share a heartbeat.
 func (n *Net) Spread(ctx context.Context, id string) bool {
 	if n.Register.Held(id) {
 		return true
@@ -133,7 +133,7 @@
 	return false
 }
 
-// join returns what is closed after the next beat to another controller that begins
+// join returns what is closed after the next heartbeat to another controller that begins
 // from now on.
 func (n *Net) join(o Other) <-chan struct{} {
 	n.mu.Lock()
@@ -172,13 +172,13 @@
 	return time.Since(n.leading[node]) < d
 }
 
-// StraysElsewhere returns how many machines another node, heard within d, has seen
+// RedirectedElsewhere returns how many machines another node, heard within d, has seen
 // come by though it does not lead: the most of any.
-func (n *Net) StraysElsewhere(d time.Duration) int {
+func (n *Net) RedirectedElsewhere(d time.Duration) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	most := 0
-	for node, count := range n.strays {
+	for node, count := range n.redirected {
 		if time.Since(n.heard[node]) < d {
 			most = max(most, count)
 		}
@@ -215,31 +215,31 @@
 	return nobody
 }
 
-// own returns this node's beat, and the number of the last cancellation in it.
+// own returns this node's heartbeat, and the number of the last cancellation in it.
 func (n *Net) own() ([]byte, uint64) {
 	leader, term := n.Known()
 	s := n.Register.State()
-	b := &Beat{Node: n.Node, Term: term, Leader: leader, Strays: uint32(n.Strays()), Served: n.Served(),
+	b := &Heartbeat{Node: n.Node, Term: term, Leader: leader, Redirected: uint32(n.Redirected()), Served: n.Served(),
 		Cancelled: s.Jobs, Gangs: true, MemoryMs: uint64(s.Memory.Milliseconds())}
 	if s.Knows {
 		b.KnownMs = uint64(s.Age.Milliseconds()) + 2 // rounded up, and one more
 	}
-	b.Gone = within(n.Gone(), maxBeat-proto.Size(b))
+	b.Gone = within(n.Gone(), maxHeartbeat-proto.Size(b))
 	return marshal(b), s.Seq
 }
 
-// maxBeat is the size that a beat may have: that of a request body, less its fields' tags. The
+// maxHeartbeat is the size that a heartbeat may have: that of a request body, less its fields' tags. The
 // register of cancelled jobs is bounded to what leaves room for the rest.
-const maxBeat = wire.MaxBody - 1<<10
+const maxHeartbeat = wire.MaxBody - 1<<10
 
-// within returns as many of the attempts as fit into so many bytes of a beat. The others can
+// within returns as many of the attempts as fit into so many bytes of a heartbeat. The others can
 // wait: they spare work, and no rule rests on them.
 //
-// It guards against beats that are refused as too large, after which every node takes every
+// It guards against heartbeats that are refused as too large, after which every node takes every
 // other for dead: 4,096 cancelled jobs and 1,000 attempts come to 74 KiB (TestLargestBeat).
 func within(gone []*Attempt, bytes int) []*Attempt {
 	for i, a := range gone {
-		bytes -= proto.Size(a) + protowire.SizeTag(1) + protowire.SizeVarint(maxBeat)
+		bytes -= proto.Size(a) + protowire.SizeTag(1) + protowire.SizeVarint(maxHeartbeat)
 		if bytes < 0 {
 			return gone[:i]
 		}
@@ -247,8 +247,8 @@
 	return gone
 }
 
-// statement returns what a beat says of cancellations.
-func statement(b *Beat) cancellation.Statement {
+// statement returns what a heartbeat says of cancellations.
+func statement(b *Heartbeat) cancellation.Statement {
 	return cancellation.Statement{Jobs: b.Cancelled, Memory: time.Duration(b.MemoryMs) * time.Millisecond,
 		Age: time.Duration(b.KnownMs) * time.Millisecond, Knows: b.KnownMs != 0}
 }
@@ -288,10 +288,10 @@
 	return resp.Body, true
 }
 
-func (n *Net) beat(ctx context.Context, o Other) {
+func (n *Net) sendHeartbeat(ctx context.Context, o Other) {
 	sent := time.Now()
 	own, seq := n.own()
-	body, ok := n.post(ctx, o, beatPath, own)
+	body, ok := n.post(ctx, o, heartbeatPath, own)
 	if !ok {
 		return
 	}
@@ -300,17 +300,17 @@
 		return
 	}
 	n.Register.Answered(o.Node, seq, sent, statement(b))
-	// Only the answer to one's own beat is a sign of life. One that comes in may be a
+	// Only the answer to one's own heartbeat is a sign of life. One that comes in may be a
 	// late copy: taken for a sign, it kept workers waiting for a leader that could not
 	// be reached until their leases ran out (TestRepeats).
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.heard == nil {
-		n.heard, n.leading, n.strays, n.served = map[string]time.Time{}, map[string]time.Time{}, map[string]int{}, map[string]bool{}
+		n.heard, n.leading, n.redirected, n.served = map[string]time.Time{}, map[string]time.Time{}, map[string]int{}, map[string]bool{}
 		n.gangs = map[string]bool{}
 	}
 	n.heard[b.Node] = time.Now()
-	n.strays[b.Node], n.served[b.Node], n.gangs[b.Node] = int(b.Strays), b.Served, b.Gangs
+	n.redirected[b.Node], n.served[b.Node], n.gangs[b.Node] = int(b.Redirected), b.Served, b.Gangs
 	if b.Leader == b.Node {
 		n.leading[b.Node] = time.Now()
 	}
@@ -318,8 +318,8 @@
 
 // take learns who leads and what is cancelled; a late copy names a lower term, and what
 // is cancelled stays so.
-func (n *Net) take(body []byte) (*Beat, bool) {
-	var b Beat
+func (n *Net) take(body []byte) (*Heartbeat, bool) {
+	var b Heartbeat
 	if err := proto.Unmarshal(body, &b); err != nil || b.Node == "" {
 		return nil, false
 	}
@@ -351,7 +351,7 @@
 		return wire.Response{Status: 405}
 	}
 	switch req.Path {
-	case beatPath:
+	case heartbeatPath:
 		if _, ok := n.take(req.Body); !ok {
 			return wire.Response{Status: 400}
 		}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -65,7 +65,7 @@
 	Tasks    int     // of the job in all
 	InZone   []int   // of its tasks not done or now on machines, by zone
 	Urgent   bool    // may preempt
-	Displace bool    // within its team's guarantee, for which work of guests may be stopped
+	Displace bool    // within its team's guarantee, for which work of teams without a guarantee may be stopped
 	Overdue  bool    // has waited too long with none of its tasks begun
 	Avoid    []bool  // machines on which it has failed; nil: none
 	Image    []Image // what machines have of its image, where that comes before the index; nil: nowhere
@@ -87,7 +87,7 @@
 	CPUsMax, GPUsMax float64
 	CPUsUsed         float64
 	GPUsUsed         float64
-	Guest            bool    // has no guarantee
+	Opportunistic            bool    // has no guarantee
 	stopped          Amounts // of its tasks that stop for others, and still count
 }
 
@@ -148,7 +148,7 @@
 	gaps    map[kind]gapList   // room for gangs' tasks as others end
 	changes int                // of machines so far, those rolled back left out
 	saved   *savepoint         // of the try under way; nil: of none
-	hungry  []*Job             // that wait for a machine, stop nothing for it, and come before the rest
+	starved  []*Job             // that wait for a machine, stop nothing for it, and come before the rest
 }
 
 // kind is what decides which machines fit a task whose job has no tasks tied to
@@ -214,7 +214,7 @@
 		if p.teams[j.Team].room(j.Need) {
 			p.out.Starved[i] = left
 			if !j.Urgent {
-				p.hungry = append(p.hungry, j)
+				p.starved = append(p.starved, j)
 			}
 		}
 		if j.Urgent || j.Displace {
@@ -776,7 +776,7 @@
 // guarantee stopped 52 tasks in a second, and arrays of its priority, within their teams',
 // took all of the room before the last of them was gone (inc-f015).
 func (p *planner) promised(machine int) bool {
-	for _, j := range p.hungry {
+	for _, j := range p.starved {
 		if j.Allows(&p.machines[machine]) && !j.avoids(machine) {
 			return true
 		}
@@ -808,12 +808,12 @@
 // yields tells whether a task has to give way to j: to an urgent job one of lower
 // priority, and to work within its team's guarantee the work of teams that have none.
 //
-// It guards against guests that keep what others were promised: on inc-bc39 long tasks
-// of a guest team held most machines for 400 s, and of audit-backfill, of the same
+// It guards against teams without a guarantee that keep what others were promised: on inc-bc39 long tasks
+// of a team without a guarantee held most machines for 400 s, and of audit-backfill, of the same
 // priority and within its teams' guarantees, 0.54 was done by its deadline in place of
 // 0.93 (PROTOCOL-tulipshelf.md, "Preemption").
 func (p *planner) yields(t *Task, j *Job) bool {
-	return j.Urgent && t.Priority < j.Priority || j.Displace && p.teams[t.Team].Guest
+	return j.Urgent && t.Priority < j.Priority || j.Displace && p.teams[t.Team].Opportunistic
 }
 
 // victimsOn picks tasks that give way to j, those already stopping and the youngest
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,6 @@
 // Package relay carries reports of workers that cannot reach the leader, and
 // the leader's commands to them, through the state service, which reaches every
-// zone. A node on the workers' side is the go-between: it writes their newest
+// zone. A node on the workers' side is the proxy: it writes their newest
 // reports under up/NODE and hands out what the leader writes under down/NODE.
 //
 // Nothing new is needed for safety. Reports are told apart by session and tick
@@ -35,15 +35,15 @@
 // DownKey returns the key of one part of the commands for a node's workers.
 func DownKey(node string, part int) string { return downPrefix + node + "/" + strconv.Itoa(part) }
 
-// Mail is the value under an up key.
-type Mail struct {
-	Node    string   `cbor:"node"`
-	Reports []Whole  `cbor:"reports"`
-	Changes []Change `cbor:"changes"`
+// ReportBatch is the value under an up key.
+type ReportBatch struct {
+	Node    string         `cbor:"node"`
+	Reports []FullReport   `cbor:"reports"`
+	Changes []ReportChange `cbor:"changes"`
 }
 
-// Whole is a report in short.
-type Whole struct {
+// FullReport is a report in short.
+type FullReport struct {
 	_                         struct{} `cbor:",toarray"`
 	Machine, Addr, Type, Zone string
 	Spot                      bool
@@ -53,13 +53,13 @@
 }
 
 // Report returns the report that w stands for.
-func (w *Whole) Report() fleet.Report {
+func (w *FullReport) Report() fleet.Report {
 	return fleet.Report{Machine: w.Machine, Addr: w.Addr, Type: w.Type, Zone: w.Zone, Spot: w.Spot,
 		Session: w.Session, Tick: w.Tick, Token: w.Token, RecallS: w.RecallS, Tasks: appendTasks(nil, w.Tasks)}
 }
 
-func whole(r *fleet.Report) Whole {
-	w := Whole{Machine: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot,
+func whole(r *fleet.Report) FullReport {
+	w := FullReport{Machine: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot,
 		Session: r.Session, Tick: r.Tick, Token: r.Token, RecallS: r.RecallS}
 	for _, t := range r.Tasks {
 		w.Tasks = append(w.Tasks, brief(t))
@@ -78,9 +78,9 @@
 	return out
 }
 
-// Change stands for a report by what differs from the one of the machine that was
+// ReportChange stands for a report by what differs from the one of the machine that was
 // passed on before.
-type Change struct {
+type ReportChange struct {
 	_       struct{} `cbor:",toarray"`
 	Machine string
 	Session uint64
@@ -101,7 +101,7 @@
 }
 
 // Apply returns the report that a change stands for, given the one before it.
-func (c *Change) Apply(before fleet.Report) fleet.Report {
+func (c *ReportChange) Apply(before fleet.Report) fleet.Report {
 	r := before
 	r.Tick, r.Token, r.Tasks = c.Tick, c.Token, nil
 	out := map[attempt]bool{}
@@ -123,8 +123,8 @@
 }
 
 // difference returns what makes b of a, reports of one session.
-func difference(a, b *fleet.Report) Change {
-	c := Change{Machine: b.Machine, Session: b.Session, Before: a.Tick, Tick: b.Tick, Token: b.Token}
+func difference(a, b *fleet.Report) ReportChange {
+	c := ReportChange{Machine: b.Machine, Session: b.Session, Before: a.Tick, Tick: b.Tick, Token: b.Token}
 	had := make(map[attempt]fleet.TaskReport, len(a.Tasks))
 	for _, t := range a.Tasks {
 		had[attempt{t.Task, t.Try}] = t
@@ -144,8 +144,8 @@
 	return c
 }
 
-// Box is the value under a down key.
-type Box struct {
+// CommandBatch is the value under a down key.
+type CommandBatch struct {
 	Term     uint64           `cbor:"term"`
 	Machines map[string]Order `cbor:"machines"`
 }
@@ -186,8 +186,8 @@
 	return out
 }
 
-// Lodger is the go-between's side.
-type Lodger struct {
+// Proxy is the side of the controller that stands in for the leader.
+type Proxy struct {
 	Node       string
 	Store      *statestore.Client
 	Dial       wire.DialFunc // to workers
@@ -201,7 +201,7 @@
 	leader  string                  // to which they were passed on
 	term    uint64
 	last    time.Time // when a worker was last answered
-	boxes   map[string]Box
+	batches map[string]CommandBatch
 }
 
 // passed is a report that was passed on, whole or by its changes.
@@ -213,12 +213,12 @@
 
 const (
 	writeEvery = 500 * time.Millisecond
-	active     = 8 * time.Second // lodging is over when no worker has come for so long
+	active     = 8 * time.Second // it is over when no worker has come for so long
 )
 
 // Answer takes the report of a worker that cannot reach the leader and returns
 // the answer to it under the leader's term.
-func (l *Lodger) Answer(r *fleet.Report, leader string, term uint64) fleet.Answer {
+func (l *Proxy) Answer(r *fleet.Report, leader string, term uint64) fleet.Answer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.leader != leader {
@@ -235,7 +235,7 @@
 }
 
 // take keeps a report to be passed on, if it is the newest.
-func (l *Lodger) take(r *fleet.Report) {
+func (l *Proxy) take(r *fleet.Report) {
 	if l.reports == nil {
 		l.reports, l.addrs = map[string]fleet.Report{}, map[string]string{}
 	}
@@ -248,8 +248,8 @@
 }
 
 // order returns what the leader wants of a machine under the present term.
-func (l *Lodger) order(machine string) Order {
-	for _, b := range l.boxes {
+func (l *Proxy) order(machine string) Order {
+	for _, b := range l.batches {
 		if o, ok := b.Machines[machine]; ok && b.Term == l.term {
 			return o
 		}
@@ -257,15 +257,15 @@
 	return Order{}
 }
 
-func (l *Lodger) lodging() bool {
+func (l *Proxy) active() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return time.Since(l.last) < active
 }
 
-// Run writes reports and reads commands while workers are lodged, until ctx
+// Run writes reports and reads commands while workers come to it, until ctx
 // ends.
-func (l *Lodger) Run(ctx context.Context) {
+func (l *Proxy) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Add(1)
 	go func() {
@@ -273,13 +273,13 @@
 		l.receive(ctx)
 	}()
 	for pause.For(ctx, writeEvery) {
-		if !l.lodging() {
+		if !l.active() {
 			l.forget()
 			continue
 		}
 		var ops []statestore.Op
-		mails, sent := l.mails(time.Now())
-		for i, m := range mails {
+		batches, sent := l.nextBatches(time.Now())
+		for i, m := range batches {
 			ops = append(ops, statestore.Op{Put: UpPrefix + l.Node + "/" + strconv.Itoa(i), Value: wire.Marshal(m)})
 		}
 		if len(ops) == 0 {
@@ -295,10 +295,10 @@
 }
 
 // forget drops what was kept for workers that have gone.
-func (l *Lodger) forget() {
+func (l *Proxy) forget() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.leader, l.reports, l.passed, l.addrs, l.boxes = "", nil, nil, nil, nil
+	l.leader, l.reports, l.passed, l.addrs, l.batches = "", nil, nil, nil, nil
 }
 
 // Fill returns how much of a limit to fill: the state service counts by the JSON form,
@@ -311,7 +311,7 @@
 // wholeAgain is how long a whole report that was passed on may take to arrive.
 const wholeAgain = 3 * time.Second
 
-// mails returns what has come and was not yet passed on, as values for the up keys, and
+// nextBatches returns what has come and was not yet passed on, as values for the up keys, and
 // the reports that it stands for: first that machines are heard, then what is new.
 //
 // Of a machine passed on before only the changes go: with whole reports, which list all
@@ -319,24 +319,24 @@
 // kapana-orders-grown: 68 counted as silent), and through one of 600 machines so little
 // went that a quarter of the fleet stood idle while 97 jobs waited (loss of
 // kapana-orders-fleet).
-func (l *Lodger) mails(now time.Time) (out []Mail, sent []passed) {
+func (l *Proxy) nextBatches(now time.Time) (out []ReportBatch, sent []passed) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	value := Fill(l.ValueBytes) - 200
 	left, room := 0, Fill(MaxWrite)
-	add := func(size int) *Mail {
+	add := func(size int) *ReportBatch {
 		if size > left {
 			if len(out) == l.TxnOps || size > min(room, value) {
 				return nil
 			}
-			out = append(out, Mail{Node: l.Node})
+			out = append(out, ReportBatch{Node: l.Node})
 			left = min(room, value)
 		}
 		left -= size
 		room -= size
 		return &out[len(out)-1]
 	}
-	change := func(r fleet.Report, c Change) bool {
+	change := func(r fleet.Report, c ReportChange) bool {
 		m := add(len(wire.Marshal(c)))
 		if m != nil {
 			m.Changes = append(m.Changes, c)
@@ -354,7 +354,7 @@
 		return m != nil
 	}
 	var news []string
-	changes := map[string]Change{}
+	changes := map[string]ReportChange{}
 	for name, r := range l.reports {
 		p, ok := l.passed[name]
 		if ok && p.report.Session == r.Session && r.RecallS == nil && p.report.RecallS == nil &&
@@ -372,7 +372,7 @@
 		return cmp.Or(l.passed[a].at.Compare(l.passed[b].at), strings.Compare(a, b))
 	})
 	for _, name := range news {
-		// What finds no room has its turn with the next mails.
+		// What finds no room has its turn with the next batches.
 		if c, ok := changes[name]; ok {
 			change(l.reports[name], c)
 		} else {
@@ -382,7 +382,7 @@
 	return out, sent
 }
 
-func (l *Lodger) passedOn(sent []passed) {
+func (l *Proxy) passedOn(sent []passed) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.passed == nil {
@@ -398,13 +398,13 @@
 }
 
 // receive follows the commands for this node's workers.
-func (l *Lodger) receive(ctx context.Context) {
+func (l *Proxy) receive(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	slots := make(chan struct{}, maxPushes)
 	var rev uint64
 	for ctx.Err() == nil {
-		if !l.lodging() {
+		if !l.active() {
 			rev = 0
 			if !pause.For(ctx, 500*time.Millisecond) {
 				return
@@ -434,7 +434,7 @@
 }
 
 // read waits for commands and returns those that have changed.
-func (l *Lodger) read(ctx context.Context, rev *uint64) ([]push, error) {
+func (l *Proxy) read(ctx context.Context, rev *uint64) ([]push, error) {
 	prefix := downPrefix + l.Node + "/"
 	var fresh []push
 	if *rev == 0 {
@@ -466,18 +466,18 @@
 }
 
 // open takes a part of the commands and adds what has changed to fresh.
-func (l *Lodger) open(key string, value []byte, fresh []push) ([]push, error) {
-	var b Box
+func (l *Proxy) open(key string, value []byte, fresh []push) ([]push, error) {
+	var b CommandBatch
 	if err := wire.Unmarshal(value, &b); err != nil {
 		return nil, fmt.Errorf("relay: commands: %w", err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.boxes == nil {
-		l.boxes = map[string]Box{}
+	if l.batches == nil {
+		l.batches = map[string]CommandBatch{}
 	}
-	old := l.boxes[key]
-	l.boxes[key] = b
+	old := l.batches[key]
+	l.batches[key] = b
 	if b.Term != l.term {
 		return fresh, nil
 	}
@@ -505,7 +505,7 @@
 
 // push sends commands directly, which saves a worker's next report: of a task of 25 s
 // the way through the state service and back otherwise takes 7.
-func (l *Lodger) push(ctx context.Context, p push) {
+func (l *Proxy) push(ctx context.Context, p push) {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	c := wire.Client{Dial: l.Dial, Addr: p.addr}
--- a/internal/rental/offered.go
+++ b/internal/rental/offered.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// Memo is what the next leader needs of the estimates, to be kept for it.
-type Memo struct {
+// Estimates is what the next leader needs of the estimates, to be kept for it.
+type Estimates struct {
 	Sum     float64               `cbor:"sum"`
 	StartMS int64                 `cbor:"start_ms"`
 	LastMS  int64                 `cbor:"last_ms"`
@@ -79,9 +79,9 @@
 	Learned map[string][2]float64 `cbor:"learned"`
 }
 
-// Remember returns the estimates.
-func Remember(o *Offered, l *Learned) Memo {
-	m := Memo{Sum: o.sum, StartMS: o.start.UnixMilli(), LastMS: o.last.UnixMilli(), CameMS: o.came.UnixMilli(), Gap: o.gap,
+// NewEstimates returns the estimates.
+func NewEstimates(o *Offered, l *Learned) Estimates {
+	m := Estimates{Sum: o.sum, StartMS: o.start.UnixMilli(), LastMS: o.last.UnixMilli(), CameMS: o.came.UnixMilli(), Gap: o.gap,
 		Learned: map[string][2]float64{}}
 	for class, s := range l.classes {
 		m.Learned[class] = [2]float64{s.actual, s.expected}
@@ -89,8 +89,8 @@
 	return m
 }
 
-// Recall takes the estimates of an earlier leader.
-func (m *Memo) Recall(o *Offered, l *Learned) {
+// Restore takes the estimates of an earlier leader.
+func (m *Estimates) Restore(o *Offered, l *Learned) {
 	o.sum, o.gap = m.Sum, m.Gap
 	o.start, o.last, o.came = time.UnixMilli(m.StartMS), time.UnixMilli(m.LastMS), time.UnixMilli(m.CameMS)
 	l.classes = map[string]*sums{}
