jobstore: Leave the garbage of a job to the batch that records its end

What callers saw: nothing. If the watch reports a job's end before the write of that end is answered, the job's chunks are deleted once more, one write each without effect, and the job's ID stays in the leader's memory.

Cause: watch and answer both declared the chunks to be garbage; while the batch is in flight only its outcome can tell which of them it has deleted. The answer, and a read that found no record, also added the ID to those whose deletion the watch still has to report, after it had reported it.

Why this works: Job.endInFlight is set from the batch to its outcome, and the garbage is settled once. Without an answer, or after a failed compare, BatchFailed makes every chunk garbage if the record was found deleted meanwhile, so no deletion is lost; the orders of the test cover this, and a leader that ends leaves it to the next, which deletes chunks without a record. An ID is kept only while the watch has yet to report.

--- a/internal/jobstore/batch.go
+++ b/internal/jobstore/batch.go
@@ -157,6 +157,7 @@
 	b.mutate(kvstore.Mutation{Put: EndKey(id), Value: wire.Marshal(final)})
 	b.mutate(kvstore.Mutation{Delete: JobKey(id)})
 	b.batch.ends = append(b.batch.ends, endWrite{job: job, deletedChunks: b.deleteChunks(job)})
+	job.endInFlight = true
 }
 
 // deleteChunks adds deletions of an ended job's chunks as far as there is write rate to spare, and
--- a/internal/jobstore/job.go
+++ b/internal/jobstore/job.go
@@ -31,6 +31,10 @@
 	endReadySince  time.Time // time at which NextBatch first found the job ready to end; zero: not yet
 
 	gangDispatch gangDispatchState
+
+	// endInFlight is whether the batch that records the end of the job has not been answered. The answer
+	// then determines which of the job's chunks are garbage, whichever of answer and watch comes first.
+	endInFlight bool
 }
 
 // DoneTasks returns the number of tasks that are done.
--- a/internal/jobstore/outcome.go
+++ b/internal/jobstore/outcome.go
@@ -48,32 +48,45 @@
 	}
 }
 
-// applyEnd removes a job whose end is recorded. It returns the object that the Store holds under the
-// job's ID if that is another one, which a late read has added (Store.remove), and nil otherwise.
+// applyEnd removes a job whose end is recorded, and adds the chunks that were not deleted with its record
+// to its garbage. It returns the object that the Store holds under the job's ID if that is another one,
+// which a late read has added (Store.remove), and nil otherwise.
 func (s *Store) applyEnd(write endWrite) (duplicate *Job) {
 	ended := write.job
+	ended.endInFlight = false
 	for _, index := range write.deletedChunks {
 		delete(ended.chunks, index)
 	}
 	ended.addChunksToGarbage()
-	current := s.remove(ended.Spec.ID)
-	delete(s.dirty, ended)
-	s.endedIDs[ended.Spec.ID] = struct{}{}
-	if current == ended {
-		return nil
+	if !s.holds(ended) {
+		return s.remove(ended.Spec.ID) // the watch has reported the end before this answer
 	}
-	return current
+	s.remove(ended.Spec.ID)
+	s.endedIDs[ended.Spec.ID] = struct{}{}
+	return nil
 }
 
 // BatchFailed marks the chunks of a batch as dirty again if the batch was not executed or its outcome is
 // unknown. Later batches write all of its changes again with the same compares. That is safe: of two
 // transactions that compare the same revision of a key and change the key, at most one is executed.
-func (s *Store) BatchFailed(batch *Batch) {
+//
+// It returns the jobs of the batch whose ends are recorded all the same, by this batch or an earlier one
+// that was not answered: the watch or a read has found their records deleted. Which of their chunks were
+// deleted is not known, so all of them are garbage.
+func (s *Store) BatchFailed(batch *Batch) (ended []*Job) {
 	for _, write := range batch.chunks {
 		write.chunk.dirty = true
 		write.chunk.unrecordedStarts += len(write.starts)
 		s.dirty[write.job] = struct{}{}
 	}
+	for _, write := range batch.ends {
+		write.job.endInFlight = false
+		if !s.holds(write.job) {
+			write.job.addChunksToGarbage()
+			ended = append(ended, write.job)
+		}
+	}
+	return ended
 }
 
 // SetChunkRevision sets the revision of a chunk to the one read from the key-value store after a compare
--- a/internal/jobstore/records.go
+++ b/internal/jobstore/records.go
@@ -80,10 +80,14 @@
 
 // RecordFoundDeleted removes a job whose record a read did not find, and returns the job, or nil if the
 // Store does not hold it. The end of the job was recorded by a transaction that was not answered, and
-// the watch has yet to report the deletion.
+// the watch has yet to report the deletion. If the Store does not hold the job, the watch has reported
+// the deletion before the read was answered, or the end is known in another way.
 func (s *Store) RecordFoundDeleted(id string) *Job {
-	s.endedIDs[id] = struct{}{}
-	return s.removeEnded(id)
+	job := s.removeEnded(id)
+	if job != nil {
+		s.endedIDs[id] = struct{}{}
+	}
+	return job
 }
 
 // RecordDeleted removes a job after the watch has reported the deletion of its record. It returns the
@@ -95,10 +99,11 @@
 
 // removeEnded removes a job whose end is recorded, and adds all of its chunks to its garbage. Which of
 // them were deleted with the record is not known. A chunk that was not deleted would otherwise stay
-// until another leader reads the records.
+// until another leader reads the records. While the batch with the end is in flight, the garbage is left
+// to its outcome (BatchCommitted, BatchFailed), which shows what it has deleted.
 func (s *Store) removeEnded(id string) *Job {
 	job := s.remove(id)
-	if job != nil {
+	if job != nil && !job.endInFlight {
 		job.addChunksToGarbage()
 	}
 	return job
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -25,9 +25,8 @@
 	jobs  map[string]*Job   // by ID
 	dirty map[*Job]struct{} // jobs with a dirty chunk or an end to record
 
-	// endedIDs holds the IDs of jobs whose end is known to be recorded. The watch's report that the
-	// record is deleted removes the ID; an ID that is added after this report stays. Guards against a
-	// late event that would add an ended job again.
+	// endedIDs holds the IDs of jobs whose end is known to be recorded while the watch has not reported
+	// that the record is deleted. Guards against a late event that would add an ended job again.
 	endedIDs map[string]struct{}
 
 	attemptSequence uint64 // sequence number in the last allocated attempt number; 0: none allocated
@@ -52,6 +51,10 @@
 // Len returns the number of unfinished jobs.
 func (s *Store) Len() int { return len(s.jobs) }
 
+// holds reports whether the job is unfinished. It is false for a job that has ended, also if a late read
+// has added another object with its ID.
+func (s *Store) holds(job *Job) bool { return s.jobs[job.Spec.ID] == job }
+
 // markDirty marks a task's chunk as dirty since now, and returns the chunk. A chunk that is already
 // dirty keeps its earlier time.
 func (s *Store) markDirty(job *Job, task int, now time.Time) *chunk {
--- a/internal/leader/writer.go
+++ b/internal/leader/writer.go
@@ -78,7 +78,9 @@
 		l.batchCommitted(e.batch, e.revision)
 		return
 	}
-	l.jobs.store.BatchFailed(e.batch)
+	for _, j := range l.jobs.store.BatchFailed(e.batch) {
+		l.attempts.jobEnded(j)
+	}
 	var conflict *kvstore.ConflictError
 	if !errors.As(e.err, &conflict) {
 		slog.Debug("batch not written", "err", e.err)
