jobstore: Refuse the first write of a chunk once its job has ended

What callers saw: nothing; a chunk of an ended job stays in the key-value store and in every controller's replica until another leader reads the records.

Cause: a write of a chunk without starts compares only the chunk's revision. After a rechunk the first such write compares that the chunk does not exist, which holds again after the end of the job, if the transaction is late.

Why this works: every first write now also compares the revision of the job's record, which the end deletes. Later writes compare a revision of the chunk, which the end deletes too.

--- a/internal/jobstore/batch.go
+++ b/internal/jobstore/batch.go
@@ -135,10 +135,13 @@
 	b.compare(key, changed.revision)
 	write := chunkWrite{job: job, chunk: changed, lastEnd: b.lastEnd}
 	if changed.unrecordedStarts > 0 {
-		// A start must not be recorded once its job is cancelled.
-		b.compare(JobKey(job.Spec.ID), job.Revision)
 		write.starts = job.unrecordedAttempts(changed.index)
 	}
+	if changed.unrecordedStarts > 0 || changed.revision == 0 {
+		// A start must not be recorded once its job is cancelled, nor a chunk be created once its job has
+		// ended, however late the transaction is executed.
+		b.compare(JobKey(job.Spec.ID), job.Revision)
+	}
 	b.mutate(kvstore.Mutation{Put: key, Value: encoded})
 	b.batch.chunks = append(b.batch.chunks, write)
 	changed.dirty, changed.unrecordedStarts = false, 0 // changes while in flight set them again
--- a/internal/jobstore/end_order_test.go
+++ b/internal/jobstore/end_order_test.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"testing"
+
+	"tulipshelf/internal/job"
 )
 
 // endOrderFixture is a job of two chunks whose end a batch records. The batch deletes only one of the
@@ -121,3 +123,25 @@
 		})
 	}
 }
+
+// Guards against a chunk that is stored after its job has ended: after a rechunk, the first write of a
+// chunk may contain no start. Without an answer it may be executed late, after the end of the job.
+func TestDelayedFirstWriteOfChunkIsRefusedAfterEnd(t *testing.T) {
+	leader := newTestLeader(t, Record{
+		Spec:              testSpec(testID, job.Array, 4),
+		ChunkSize:         TasksPerChunk(smallValue),
+		FirstChunk:        rechunkedFirstChunk,
+		PreviousChunkSize: 200,
+	})
+	leader.store.FinishLoading()
+	delayed := leader.store.NextBatch(fence, BatchLimits{8, 8, smallValue}, leader.now)
+	if delayed == nil || len(delayed.chunks) != 1 || len(delayed.chunks[0].starts) != 0 {
+		t.Fatalf("batch %+v, want the first write of the chunk, without starts", delayed)
+	}
+	leader.store.BatchFailed(delayed)
+	leader.store.MarkCancelled(testID, leader.now)
+	leader.commitAll(smallValue)
+	if _, ok := leader.backend.execute(delayed); ok {
+		t.Errorf("delayed write of the chunk executed after the end of the job; stored items: %v", leader.backend.items)
+	}
+}
