jobstore: Ignore reads of ended jobs that are answered late

What callers saw: nothing directly. A read that another controller's notification starts, and that is answered after the watch has reported the job's end, added the job again.

Cause: the store took any record that it does not hold as a new job.

Evidence, before: the new TestStaleReadDoesNotAddEndedJob does not build without WatchReached; TestLateReadOfEndedJobIsNotWritten (unchanged) describes the job that was added again.

Why this works: all records up to the revision that the watch has reached have been applied, so one that is not later and not held has been deleted since. Later records are added as before.

--- a/internal/jobstore/records.go
+++ b/internal/jobstore/records.go
@@ -8,6 +8,10 @@
 // returns the job and reports whether the job is new or newly cancelled. A revision that is not later
 // than the one in memory is ignored. The job is nil if its end is already recorded. The error wraps
 // ErrMalformed.
+//
+// Guards against ended jobs that are added again by a read that is answered late: a record that the Store
+// does not hold although the watch has reached its revision has been deleted since
+// (docs/incidents/inc-1671.md).
 func (s *Store) ApplyRecord(value []byte, revision uint64) (job *Job, changed bool, err error) {
 	record, err := DecodeRecord(value)
 	if err != nil {
@@ -22,6 +26,9 @@
 		return job, false, nil
 	}
 	isNew := job == nil
+	if isNew && revision <= s.watchedRevision {
+		return nil, false, nil
+	}
 	if isNew {
 		job = newJob(&record, revision)
 		s.jobs[id] = job
@@ -30,6 +37,10 @@
 	return job, isNew || newlyCancelled, nil
 }
 
+// WatchReached records that all records of the revision, and the later changes that the watch has
+// reported up to it, have been applied.
+func (s *Store) WatchReached(revision uint64) { s.watchedRevision = max(s.watchedRevision, revision) }
+
 // newJob returns a job with all of its tasks waiting, from the first of its records that is read.
 func newJob(record *Record, revision uint64) *Job {
 	return &Job{
--- a/internal/jobstore/records_test.go
+++ b/internal/jobstore/records_test.go
@@ -56,6 +56,24 @@
 	}
 }
 
+// Guards against an ended job that is added again by a read that began before the end and is answered
+// after the watch has reported it. A job submitted later is added.
+func TestStaleReadDoesNotAddEndedJob(t *testing.T) {
+	store := New()
+	addArray(t, store, testID, 1, 10)
+	store.WatchReached(10)
+	if store.RecordDeleted(testID) == nil {
+		t.Fatal("RecordDeleted did not return the job")
+	}
+	store.WatchReached(12)
+	if again := addArray(t, store, testID, 1, 10); again != nil || store.Len() != 0 {
+		t.Errorf("ended job added again by a read of revision 10 after the watch reached 12")
+	}
+	if later := addArray(t, store, "wk-000002", 1, 13); later == nil {
+		t.Error("job of revision 13 refused after the watch reached 12")
+	}
+}
+
 // Guards against an ended job that is added again, and against chunks that stay stored. The batch that
 // recorded the end was not answered, and a read finds the record deleted. The watch then reports an
 // earlier change of the record before it reports the deletion.
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -29,6 +29,8 @@
 	// that the record is deleted. Guards against a late event that would add an ended job again.
 	endedIDs map[string]struct{}
 
+	watchedRevision uint64 // revision up to which the changes of records have been applied (WatchReached)
+
 	attemptSequence uint64 // sequence number in the last allocated attempt number; 0: none allocated
 	endSequence     uint64 // sequence number of the last end of an attempt; 0: none has ended
 }
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -39,18 +39,22 @@
 			continue
 		}
 		revision = max(revision, reached)
-		l.loop.submit(recordsChanged{changes})
+		l.loop.submit(recordsChanged{changes, revision})
 		clock.Sleep(ctx, recordsWatchPause)
 	}
 }
 
 // recordsChanged carries the changes that the watch has returned.
-type recordsChanged struct{ changes []kvstore.Event }
+type recordsChanged struct {
+	changes []kvstore.Event
+	reached uint64 // revision that the changes reach
+}
 
 func (e recordsChanged) apply(l *Leader) {
 	for i := range e.changes {
 		l.applyChange(&e.changes[i])
 	}
+	l.jobs.store.WatchReached(e.reached)
 }
 
 // applyChange applies a change of a job's record. It ignores changes of chunks and of keys that are not
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -108,6 +108,7 @@
 		})
 	})
 	l.jobs.store.FinishLoading()
+	l.jobs.store.WatchReached(revision)
 	slog.Info("records read", "term", l.term.Number(), "jobs", l.jobs.store.Len(), "machines", l.machines.registry.Size())
 	return revision, nil
 }
