fake: Keep the store still in an outage, and lose no change of a watch

Departures of the fake store from the protocol, found by reading, which could hide faults of the controllers: - a watch that timed out in an outage returned the current revision without the changes before it, so that its client never saw them; and it was not woken at the end of the outage; - a delayed transaction was applied while the store was down; - a page whose first value exceeds the page's size held no key, but said that more follow.

--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -41,6 +41,7 @@
 	faults            StoreFaults
 	random            *rand.Rand   // selects the responses that LoseOneResponseIn loses
 	held              []func()     // functions that apply the transactions held back by HoldNext
+	dueInOutage       [][]byte     // bodies of late transactions that came due in an outage, oldest first
 	limits            *StoreLimits // nil: no limits
 	writes            *rate.Limiter
 	refusals          StoreRefusals
@@ -181,7 +182,9 @@
 			continue
 		}
 		stored := s.keys[key]
-		if size += len(stored.value); len(page.Items) == min(limit, maxPageKeys) || size > maxPageBytes {
+		size += len(stored.value)
+		isTooLarge := size > maxPageBytes && len(page.Items) > 0 // a page holds at least one key
+		if isTooLarge || len(page.Items) == min(limit, maxPageKeys) {
 			page.More = true
 			break
 		}
@@ -309,13 +312,19 @@
 	for len(s.events) > maxRetainedEvents {
 		s.compactedRevision, s.events = s.events[0].Revision, s.events[1:]
 	}
+	s.wakeWatches()
+}
+
+// wakeWatches makes all open watches look for changes. The caller holds mu.
+func (s *Store) wakeWatches() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // watch responds with the changes of keys with a prefix after a revision. It waits for the first change
-// for at most wait_ms milliseconds and then responds with none. It responds with StatusGone if changes
-// after the revision are no longer retained. The caller does not hold mu.
+// for at most wait_ms milliseconds and then responds with none. In an outage an open watch gets no
+// response. It responds with StatusGone if changes after the revision are no longer retained. The caller
+// does not hold mu.
 func (s *Store) watch(ctx context.Context, query map[string]string) wire.Response {
 	after, _ := strconv.ParseUint(query["after"], 10, 64)
 	waitMS, _ := strconv.Atoi(query["wait_ms"])
@@ -340,17 +349,30 @@
 			time.Sleep(faults.WatchDelay)
 			return ok(map[string]any{"epoch": rev, "events": found})
 		}
+		timeout := waitCtx.Done()
+		if faults.Down {
+			timeout = ctx.Done() // an open watch is not answered in an outage, even after its time
+		}
 		select {
 		case <-changed:
-		case <-waitCtx.Done():
+		case <-timeout:
 			if ctx.Err() != nil {
 				return wire.Response{Status: statusDropConnection}
 			}
+			if s.isDown() {
+				continue
+			}
 			return ok(map[string]any{"epoch": rev})
 		}
 	}
 }
 
+func (s *Store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Down
+}
+
 // changesAfter returns the retained changes of keys with a prefix after a revision. The caller holds mu.
 func (s *Store) changesAfter(revision uint64, prefix string) (found []kvstore.Event) {
 	for _, event := range s.events {
--- a/internal/fake/store_faults.go
+++ b/internal/fake/store_faults.go
@@ -63,6 +63,32 @@
 	if s.faults.Down != wasDown {
 		s.suspendLeases(s.faults.Down)
 	}
+	if wasDown && !s.faults.Down {
+		s.resume()
+	}
+}
+
+// resume applies the transactions that came due in an outage, and wakes the watches that stayed open
+// during it. The caller holds mu.
+func (s *Store) resume() {
+	due := s.dueInOutage
+	s.dueInOutage = nil
+	for _, body := range due {
+		s.transact(body)
+	}
+	s.wakeWatches()
+}
+
+// transactLate applies a transaction that was delayed, in an outage only after its end. The caller does
+// not hold mu.
+func (s *Store) transactLate(body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		s.dueInOutage = append(s.dueInOutage, body)
+		return
+	}
+	s.transact(body)
 }
 
 // suspendLeases stops the timers of all leases when an outage begins, and restarts them with their full
@@ -100,11 +126,7 @@
 	if resp := s.checkLimits(body); resp.Status != 0 {
 		return resp
 	}
-	applyLate := func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.transact(body)
-	}
+	applyLate := func() { s.transactLate(body) }
 	faults := &s.faults
 	s.counts.transactions++
 	switch {
