relay: Read all commands again after a period without agents

What callers saw: in a zone that is served through the relay, starts and halts are no longer delivered after about 8 s without a heartbeat, until the leader changes them.

Cause: the proxy drops its commands when it becomes idle, but the reader noticed idleness only between two watches of 5 s and otherwise continued the old watch, which returns only later changes.

Evidence, before (pauses from 7 s to 15 s in steps of 250 ms):

TestCommandsAreReadAgainAfterIdlePeriod: 0 commands after 8.25s without heartbeats, want 1 0 commands after 8.5s without heartbeats, want 1 TestDeletedCommandsAreNotDelivered: commands [{Verb:halt ...}] after they were deleted, want none

Refuted by arithmetic: relayed commands plus halts may exceed agent.MaxCommands (40 and 40). The limit bounds the size of a response; 80 commands of about 100 bytes are 8 KB of the 64 KiB that agents accept.

--- a/internal/relay/commands.go
+++ b/internal/relay/commands.go
@@ -23,8 +23,7 @@
 	// that the leader writes in between.
 	minReadInterval = 200 * time.Millisecond
 
-	// watchTimeout is the time that one watch request waits for a change. It limits how long a proxy
-	// holds a connection to the store after it has become inactive.
+	// watchTimeout is the time that one watch request waits for a change.
 	watchTimeout = 5 * time.Second
 
 	// commandPageSize is the page size, in keys, for listing the commands. One page contains them all:
@@ -38,16 +37,27 @@
 func (p *Proxy) followCommands(ctx context.Context) {
 	dispatcher := newDispatcher(p)
 	defer dispatcher.wait()
-	var revision uint64 // revision up to which commands have been read; 0: list all
 	for ctx.Err() == nil {
-		if !p.active() {
-			revision = 0
-			if !clock.Sleep(ctx, idlePollInterval) {
-				return
-			}
-			continue
+		if activation := p.currentActivation(); activation != nil {
+			p.followDuring(ctx, activation, dispatcher)
 		}
-		read, err := p.readCommands(ctx, revision)
+		clock.Sleep(ctx, idlePollInterval)
+	}
+}
+
+// followDuring reads and dispatches commands until ctx or activation ends. It begins with a list of all
+// commands.
+//
+// Guards against commands that are lost: the proxy drops the commands that it has read when it is no
+// longer active. If it continued a watch from before, it would not read them again until the leader
+// changes them (docs/incidents/relayed-commands-lost.md).
+func (p *Proxy) followDuring(ctx, activation context.Context, dispatcher *dispatcher) {
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(activation, cancel)()
+	var revision uint64 // revision up to which commands have been read; 0: list all
+	for readCtx.Err() == nil {
+		read, err := p.readCommands(readCtx, revision)
 		if err != nil {
 			slog.Debug("commands not relayed", "err", err)
 		}
@@ -55,7 +65,7 @@
 		for _, commands := range read.changed {
 			dispatcher.tryDispatch(ctx, commands)
 		}
-		clock.Sleep(ctx, minReadInterval)
+		clock.Sleep(readCtx, minReadInterval)
 	}
 }
 
@@ -99,7 +109,8 @@
 	read := commandRead{revision: max(after, revision)}
 	for _, event := range events {
 		if event.Put == "" {
-			continue // the key was deleted
+			p.dropCommands(event.Delete)
+			continue
 		}
 		changed, err := p.decodeCommands(event.Put, event.Value)
 		if err != nil {
@@ -110,6 +121,13 @@
 	return read, nil
 }
 
+// dropCommands drops the batch of commands under a key that was deleted.
+func (p *Proxy) dropCommands(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.batches, key)
+}
+
 // decodeCommands decodes and stores the batch of commands under a key. It returns those commands that
 // have changed, if they are of the current term and the agent's address is known.
 func (p *Proxy) decodeCommands(key string, value []byte) ([]directCommands, error) {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -37,8 +37,7 @@
 // forwardHeartbeats writes heartbeats to the store while the proxy is active, until ctx ends.
 func (p *Proxy) forwardHeartbeats(ctx context.Context) {
 	for clock.Sleep(ctx, writeInterval) {
-		if !p.active() {
-			p.reset()
+		if p.resetIfIdle() {
 			continue
 		}
 		batches, forwarded := p.nextBatches(time.Now())
--- a/internal/relay/proxy_test.go
+++ b/internal/relay/proxy_test.go
@@ -352,3 +352,63 @@
 		}
 	})
 }
+
+// Guards against commands that are lost after a period without heartbeats: the proxy has dropped the
+// commands that it had read, and has to read them again however soon the next heartbeat arrives.
+func TestCommandsAreReadAgainAfterIdlePeriod(t *testing.T) {
+	for gap := idleTimeout - time.Second; gap <= idleTimeout+watchTimeout+2*time.Second; gap += 250 * time.Millisecond {
+		t.Run(gap.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				t.Cleanup(func() { time.Sleep(time.Minute) })
+				network, store := fake.NewNetwork(t.Context()), fake.NewStore()
+				go network.Serve(t.Context(), storeAddr, store.Handle)
+				synctest.Wait()
+				store.Put(DownKey("shelf-1", 0), wire.Marshal(haltCommands(3, 2)))
+				p := newTestProxy()
+				p.Store, p.Dial = kvstore.New(network.Dial("shelf-1"), storeAddr, 100, 100), network.Dial("shelf-1")
+				go p.Run(t.Context())
+				answer := func(sequence uint64) []agent.Command {
+					heartbeat := testHeartbeat(2, sequence)
+					return p.AnswerHeartbeat(&heartbeat, "shelf-0", 3).Commands
+				}
+				answer(1)
+				time.Sleep(2 * time.Second)
+				if commands := answer(2); len(commands) != 1 {
+					t.Fatalf("%d commands at first, want 1", len(commands))
+				}
+				time.Sleep(gap)
+				answer(3)
+				time.Sleep(2 * time.Second)
+				if commands := answer(4); len(commands) != 1 {
+					t.Errorf("%d commands after %v without heartbeats, want 1", len(commands), gap)
+				}
+			})
+		})
+	}
+}
+
+// Guards against commands that are delivered although the leader has deleted them.
+func TestDeletedCommandsAreNotDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(time.Minute) })
+		network, store := fake.NewNetwork(t.Context()), fake.NewStore()
+		go network.Serve(t.Context(), storeAddr, store.Handle)
+		synctest.Wait()
+		key := DownKey("shelf-1", 0)
+		store.Put(key, wire.Marshal(haltCommands(3, 2)))
+		p := newTestProxy()
+		p.Store, p.Dial = kvstore.New(network.Dial("shelf-1"), storeAddr, 100, 100), network.Dial("shelf-1")
+		go p.Run(t.Context())
+		heartbeat := testHeartbeat(2, 1)
+		p.AnswerHeartbeat(&heartbeat, "shelf-0", 3)
+		time.Sleep(2 * time.Second)
+		if _, err := p.Store.Txn(t.Context(), nil, []kvstore.Mutation{{Delete: key}}, kvstore.PriorityUser); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		heartbeat = testHeartbeat(2, 2)
+		if commands := p.AnswerHeartbeat(&heartbeat, "shelf-0", 3).Commands; len(commands) != 0 {
+			t.Errorf("commands %+v after they were deleted, want none", commands)
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,8 @@
 	leader       string                        // name of the leader to which heartbeats are forwarded
 	term         uint64                        // term of the leader
 	lastAnswered time.Time                     // time of the last answer to an agent
+	activation   context.Context               // ends with reset; nil while the proxy is not active
+	deactivate   context.CancelFunc            // ends activation
 	pending      map[string]agent.Heartbeat    // newest heartbeat not yet forwarded, by machine
 	forwarded    map[string]forwardedHeartbeat // heartbeat last forwarded to the leader, by machine
 	addrs        map[string]string             // address of the agent, by machine
@@ -60,6 +62,9 @@
 	p.term = term
 	p.accept(heartbeat)
 	p.lastAnswered = time.Now()
+	if p.activation == nil {
+		p.activation, p.deactivate = context.WithCancel(context.Background())
+	}
 	response := agent.HeartbeatResponse{FencingToken: term}
 	if commands := p.commandsFor(heartbeat.Machine); commands.Incarnation == heartbeat.Incarnation {
 		response.Commands = commands.agentCommands()
@@ -99,18 +104,29 @@
 	return MachineCommands{}
 }
 
-// active reports whether an agent was answered within idleTimeout.
-func (p *Proxy) active() bool {
+// resetIfIdle reports whether no agent was answered within idleTimeout. If so, the proxy is no longer
+// active: resetIfIdle drops the state kept for agents and ends the reading of commands, which begins
+// anew with the next heartbeat.
+func (p *Proxy) resetIfIdle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Since(p.lastAnswered) < idleTimeout
+	if time.Since(p.lastAnswered) < idleTimeout {
+		return false
+	}
+	p.leader, p.pending, p.forwarded, p.addrs, p.batches = "", nil, nil, nil, nil
+	if p.deactivate != nil {
+		p.deactivate()
+	}
+	p.activation, p.deactivate = nil, nil
+	return true
 }
 
-// reset drops the state kept for agents, once the proxy is no longer active.
-func (p *Proxy) reset() {
+// currentActivation returns a context that ends when the proxy is no longer active, or nil if it is not
+// active now.
+func (p *Proxy) currentActivation() context.Context {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leader, p.pending, p.forwarded, p.addrs, p.batches = "", nil, nil, nil, nil
+	return p.activation
 }
 
 // Run forwards heartbeats and delivers commands while the proxy is active, until ctx ends. It must be
