agent: Send halts beyond the limit of one request at once

Cause: HaltCommands cleared the mark for a direct request although the limit had cut off halts.

Evidence, before: TestHaltsBeyondLimitAreSentAtOnce: "2 of 3 halts, urgent false; want 2, urgent".

Why this works: the mark stays until the request that holds all remaining halts, as in PendingCommands.

--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -100,19 +100,24 @@
 }
 
 // HaltCommands returns the requested halts of attempts of cancelled jobs, at most limit. They may be
-// sent even if another controller leads meanwhile, because a cancellation is never revoked.
+// sent even if another controller leads meanwhile, because a cancellation is never revoked. If there are
+// more, the machine is marked as urgent, as the others should not wait for the next heartbeat: a machine
+// may be unable to send one. If these are all, the mark is cleared.
 func (m *Machine) HaltCommands(limit int) []Command {
 	var commands []Command
+	complete := true
 	for _, assignment := range m.SortedAssignments() {
-		if len(commands) >= limit {
-			break
+		if !assignment.Job.Cancelled || !assignment.Stopping {
+			continue
 		}
-		if assignment.Job.Cancelled && assignment.Stopping {
-			commands = append(commands, haltCommand(assignment))
+		if len(commands) == limit {
+			complete = false
+			break
 		}
+		commands = append(commands, haltCommand(assignment))
 	}
 	if commands != nil {
-		m.urgent = false
+		m.urgent = !complete
 	}
 	return commands
 }
--- a/internal/agent/commands_test.go
+++ b/internal/agent/commands_test.go
@@ -75,3 +75,22 @@
 		t.Errorf("got commands %v, want 1", commands)
 	}
 }
+
+// Guards against halts of cancelled tasks that wait for a heartbeat which a machine cannot send: a machine
+// has more of them than one request holds.
+func TestHaltsBeyondLimitAreSentAtOnce(t *testing.T) {
+	const term, incarnation = 2, 1
+	replayer := newTraceReplayer(t)
+	machine := replayer.machine
+	machine.ApplyHeartbeat(&Heartbeat{Machine: machine.Name, Incarnation: incarnation, Sequence: 1, FencingToken: term}, traceLease, replayer.now)
+	for task := range 3 {
+		machine.Stop(machine.AssignmentOf(replayer.assign(task, term, incarnation)), 0)
+	}
+	replayer.job.Cancelled = true
+	if commands := machine.HaltCommands(2); len(commands) != 2 || !machine.Urgent() {
+		t.Errorf("%d of 3 halts, urgent %t; want 2, urgent", len(commands), machine.Urgent())
+	}
+	if commands := machine.HaltCommands(3); len(commands) != 3 || machine.Urgent() {
+		t.Errorf("%d of 3 halts, urgent %t; want 3, not urgent", len(commands), machine.Urgent())
+	}
+}
