kvstore: Take no request from the rate for transactions that are not sent

What callers saw: while submissions exceed the controller's share of the rate of changes, its polls are answered 503 too.

Cause: Txn took a token of the rate of requests before the rate of changes refused the transaction.

Evidence, before: TestRefusedTransactionsTakeNoRequests: "read 1 of 9 after refused transactions: kvstore: not executed: over this node's own rate".

--- a/internal/kvstore/budget.go
+++ b/internal/kvstore/budget.go
@@ -53,7 +53,12 @@
 		b.limiter.ReserveN(now, n)
 		return true
 	}
-	return n <= b.available(priority) && b.limiter.AllowN(now, n)
+	return b.allows(n, priority) && b.limiter.AllowN(now, n)
+}
+
+// allows reports whether the priority may take n tokens now. It is always true for PriorityLease.
+func (b rateBudget) allows(n int, priority Priority) bool {
+	return priority == PriorityLease || n <= b.available(priority)
 }
 
 // available returns the number of tokens that the priority may take now.
--- a/internal/kvstore/budget_test.go
+++ b/internal/kvstore/budget_test.go
@@ -118,6 +118,28 @@
 	})
 }
 
+// Guards against polls that are refused because of submissions that were not sent: a transaction over the
+// rate of mutations takes nothing from the rate of requests.
+func TestRefusedTransactionsTakeNoRequests(t *testing.T) {
+	simulate(t, func(s *storeTest) {
+		s.client.SetRates(10, 1)
+		time.Sleep(2 * time.Second) // refills the buckets
+		if !s.write(1, kvstore.PriorityUser) {
+			t.Fatal("first transaction refused")
+		}
+		for range 20 {
+			if s.write(1, kvstore.PriorityUser) {
+				t.Fatal("transaction over the rate of mutations allowed")
+			}
+		}
+		for i := range 9 {
+			if _, err := s.client.List(s.ctx, "job/", "", 1, kvstore.PriorityUser); err != nil {
+				t.Fatalf("read %d of 9 after refused transactions: %v", i+1, err)
+			}
+		}
+	})
+}
+
 func TestSetRates(t *testing.T) {
 	simulate(t, func(s *storeTest) {
 		s.client.SetRates(100, 20)
--- a/internal/kvstore/requests.go
+++ b/internal/kvstore/requests.go
@@ -44,7 +44,7 @@
 // is a *ConflictError. After ErrUnknown the transaction may have been applied. If not, it may
 // still be applied later, unless a key that it compares has changed.
 func (c *Client) Txn(ctx context.Context, compares []Compare, mutations []Mutation, priority Priority) (uint64, error) {
-	if !c.requestBudget.take(1, priority) || !c.writeBudget.take(len(mutations), priority) {
+	if !c.takeForTransaction(len(mutations), priority) {
 		return 0, ErrRateLimited
 	}
 	body := wire.Marshal(transactionRequest{Compares: compares, Mutations: mutations})
@@ -63,6 +63,18 @@
 	return 0, err
 }
 
+// takeForTransaction takes the tokens of a transaction from both budgets and returns true, or returns
+// false if one of them has too few available to the priority.
+//
+// Guards against polls that are refused because submissions are: a transaction that the budget of
+// mutations refuses is not sent, and must take nothing from the budget of requests.
+func (c *Client) takeForTransaction(mutations int, priority Priority) bool {
+	if !c.writeBudget.allows(mutations, priority) {
+		return false
+	}
+	return c.requestBudget.take(1, priority) && c.writeBudget.take(mutations, priority)
+}
+
 // reportRefusal calls OnRefused, unless that is nil.
 func (c *Client) reportRefusal(tooLarge bool) {
 	if c.OnRefused != nil {
