placement: Count the tasks that fit on a machine instead of listing them

What callers saw: one gang of tasks with tiny needs ends the leading controller for memory, then the next one, as the gang's record stays.

Cause: reservations listed one slot for each task that a machine could hold; for tasks without needs that is 2^31 for each machine.

Evidence, before: TestReservationsForTinyTasks/tiny_CPU (0.0001 CPUs, 200 machines of 4 CPUs): "3306780 bytes allocated per machine, want at most 20250". The case without needs was not run on the sources as found: it would take 50 GB.

Why this works: an entry holds a count, so a machine has at most one entry more than it has tasks.

--- a/internal/placement/future_slots.go
+++ b/internal/placement/future_slots.go
@@ -8,34 +8,38 @@
 	"time"
 )
 
-// futureSlot is room for one task on a machine, now or when other tasks have ended.
-type futureSlot struct {
+// futureSlots is room for tasks of one class on a machine, now or when other tasks have ended.
+//
+// Guards against controllers that end for memory: a machine has room for any number of tasks with tiny
+// needs, so the tasks are counted and not listed one by one (docs/incidents/tiny-gangs.md).
+type futureSlots struct {
 	wait    time.Duration // time until the room is free; 0: free now or held by stopping tasks
 	machine int           // position in the list of machines
+	tasks   int           // number of tasks for which there is room
 }
 
 // futureSlotList holds the slots for tasks of one class, the soonest first. Some may be on machines that
 // have been reserved since.
 type futureSlotList struct {
-	slots          []futureSlot
+	slots          []futureSlots
 	machineChanges int // value of pass.machineChanges when the slots were computed
 }
 
 // futureSlotsFor returns the slots for a gang's tasks in a zone, or in all zones for AnyZone, the
 // soonest first. Slots are computed for each waiting gang in each pass. To save time, gangs of the same
 // class share the list as long as no machine changes.
-func (p *pass) futureSlotsFor(gang *Job, zone int) []futureSlot {
+func (p *pass) futureSlotsFor(gang *Job, zone int) []futureSlots {
 	class, hasClass := gang.gangClass(zone)
 	if list, known := p.futureSlots[class]; hasClass && known && list.machineChanges == p.machineChanges {
 		return list.slots
 	}
-	var slots []futureSlot
+	var slots []futureSlots
 	for machineIndex := range p.machines {
 		if p.feasibleOnceFree(gang, machineIndex, zone) {
 			slots = p.appendFutureSlots(slots, gang.Need, machineIndex)
 		}
 	}
-	slices.SortStableFunc(slots, func(a, b futureSlot) int { return cmp.Compare(a.wait, b.wait) })
+	slices.SortStableFunc(slots, func(a, b futureSlots) int { return cmp.Compare(a.wait, b.wait) })
 	if hasClass {
 		p.futureSlots[class] = futureSlotList{slots, p.machineChanges}
 	}
@@ -53,25 +57,25 @@
 }
 
 // appendFutureSlots appends the slots on a machine for tasks with the given need, the soonest first.
-func (p *pass) appendFutureSlots(slots []futureSlot, need Amounts, machineIndex int) []futureSlot {
+func (p *pass) appendFutureSlots(slots []futureSlots, need Amounts, machineIndex int) []futureSlots {
 	free := p.machines[machineIndex].Free
 	counted := free.FittingCount(need)
-	slots = appendSlots(slots, counted, futureSlot{machine: machineIndex})
+	slots = appendIfAny(slots, futureSlots{machine: machineIndex, tasks: counted})
 	for _, end := range p.taskEndsOn(machineIndex) {
 		if end.wait == neverEnds {
 			break
 		}
 		free = free.Add(end.need, 1)
 		fitting := free.FittingCount(need)
-		slots = appendSlots(slots, fitting-counted, futureSlot{wait: end.wait, machine: machineIndex})
+		slots = appendIfAny(slots, futureSlots{wait: end.wait, machine: machineIndex, tasks: fitting - counted})
 		counted = max(counted, fitting)
 	}
 	return slots
 }
 
-func appendSlots(slots []futureSlot, count int, slot futureSlot) []futureSlot {
-	for range count {
-		slots = append(slots, slot)
+func appendIfAny(slots []futureSlots, next futureSlots) []futureSlots {
+	if next.tasks > 0 {
+		slots = append(slots, next)
 	}
 	return slots
 }
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -74,8 +74,8 @@
 			break
 		}
 		if p.machines[slot.machine].AcceptsTasks {
-			slotsOn[slot.machine]++
-			slots++
+			slotsOn[slot.machine] += slot.tasks
+			slots += slot.tasks
 			wait = slot.wait
 		}
 	}
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"math"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -88,3 +90,34 @@
 		}
 	}
 }
+
+// TestReservationsForTinyTasks guards against controllers that end for memory: a machine has room for any
+// number of tasks with tiny needs or none, and reservations must not take memory for each of them. The
+// bound is the share of a machine in a process of 81 MB that schedules 4,000 machines.
+func TestReservationsForTinyTasks(t *testing.T) {
+	const machineCount, maxBytesPerMachine = 200, 81e6 / 4000
+	for name, need := range map[string]Amounts{
+		"tiny CPU":         {CPU: 1e-4},
+		"smallest numbers": {CPU: math.SmallestNonzeroFloat64, Memory: 1e-300},
+		"none":             {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			machines := make([]Machine, machineCount)
+			for position := range machines {
+				machines[position] = Machine{AcceptsTasks: true, Free: Amounts{CPU: 4, Memory: 16}}
+			}
+			gang := Job{Gang: true, Anticipated: true, Waiting: 3, Tasks: 3, Zone: AnyZone, Need: need, TasksInZone: make([]int, 1)}
+			p := newPass(traceStart, machines, []Job{gang}, []Team{{}})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			p.reserveMachines(&gang, gang.zonesToTry())
+			runtime.ReadMemStats(&after)
+			if perMachine := float64(after.TotalAlloc-before.TotalAlloc) / machineCount; perMachine > maxBytesPerMachine {
+				t.Errorf("%.0f bytes allocated per machine, want at most %.0f", perMachine, maxBytesPerMachine)
+			}
+			if p.machines[0].AcceptsTasks || !p.machines[1].AcceptsTasks {
+				t.Error("want only the first machine reserved, which has room for the whole gang")
+			}
+		})
+	}
+}
--- a/internal/placement/resources.go
+++ b/internal/placement/resources.go
@@ -40,16 +40,15 @@
 	return a
 }
 
-// FittingCount returns how many tasks with the given need the amounts cover; math.MaxInt32 if the need
-// is zero.
+// FittingCount returns how many tasks with the given need the amounts cover, at most math.MaxInt32.
 func (a Amounts) FittingCount(need Amounts) int {
-	times := math.MaxInt32
+	times := float64(math.MaxInt32) // a count beyond the range of int would turn negative
 	for resource := range a {
 		if need[resource] > 0 {
-			times = min(times, int(math.Max(0, a[resource]+tolerance)/need[resource]))
+			times = min(times, math.Max(0, a[resource]+tolerance)/need[resource])
 		}
 	}
-	return times
+	return int(times)
 }
 
 func (a Amounts) isZero() bool { return a == Amounts{} }
