placement: Reserve machines for a spread gang only where it can start

What callers saw: machines kept free for a gang that must be spread over zones and cannot start there; other jobs wait.

Cause: reservations counted room without the bound of half of the gang's tasks in one zone.

Evidence, before: TestReservationOfSpreadGang: room in one zone: "reserved machines [0], want []"; room in two zones: "reserved machines [0], want [0 2]".

Why this works: the room that is counted in a zone ends at the bound.

--- a/internal/placement/feasibility.go
+++ b/internal/placement/feasibility.go
@@ -2,6 +2,8 @@
 
 // Feasibility: the machines on which a task may be placed.
 
+import "math"
+
 // AnyZone stands in place of the index of a zone where all zones are allowed.
 const AnyZone = -1
 
@@ -62,6 +64,15 @@
 // half of its tasks, rounded up.
 func (j *Job) maxTasksPerZone() int { return (j.Tasks + 1) / 2 }
 
+// zoneRoom returns the number of further tasks of the job that may be in a zone, math.MaxInt unless it is
+// spread over zones.
+func (j *Job) zoneRoom(zone int) int {
+	if !j.SpreadOverZones {
+		return math.MaxInt
+	}
+	return j.maxTasksPerZone() - j.TasksInZone[zone]
+}
+
 func (j *Job) hasTasksOutside(zone int) bool {
 	for other, tasks := range j.TasksInZone {
 		if tasks > 0 && other != zone {
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -65,7 +65,8 @@
 	if gang.Overdue {
 		maxWait = maxOverdueReservationWait
 	}
-	slotsOn := map[int]int{} // number of slots within the wait, by position of the machine
+	slotsOn := map[int]int{}     // number of slots within the wait, by position of the machine
+	slotsInZone := map[int]int{} // their sum by zone
 	slots := 0
 	var wait time.Duration
 	for _, slot := range p.futureSlotsFor(gang, zone) {
@@ -73,9 +74,12 @@
 		if enough || slot.wait > maxWait {
 			break
 		}
-		if p.machines[slot.machine].AcceptsTasks {
-			slotsOn[slot.machine] += slot.tasks
-			slots += slot.tasks
+		machine := &p.machines[slot.machine]
+		tasks := min(slot.tasks, gang.zoneRoom(machine.Zone)-slotsInZone[machine.Zone])
+		if machine.AcceptsTasks && tasks > 0 {
+			slotsOn[slot.machine] += tasks
+			slotsInZone[machine.Zone] += tasks
+			slots += tasks
 			wait = slot.wait
 		}
 	}
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -71,6 +71,27 @@
 	}
 }
 
+// TestReservationOfSpreadGang guards against reservations that keep machines idle for a gang that cannot
+// start there: only half of its tasks may be in one zone.
+func TestReservationOfSpreadGang(t *testing.T) {
+	other := busy(time.Minute)
+	other.Zone = 1
+	for name, test := range map[string]struct {
+		machines []Machine
+		reserved []int
+	}{
+		"room in one zone":  {[]Machine{busy(time.Second, time.Second)}, nil},
+		"room in two zones": {[]Machine{busy(time.Second, time.Second), busy(time.Second), other}, []int{0, 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reserved := reservedFor(Job{Waiting: 2, Tasks: 2, SpreadOverZones: true}, test.machines)
+			if !slices.Equal(reserved, test.reserved) {
+				t.Errorf("reserved machines %v, want %v", reserved, test.reserved)
+			}
+		})
+	}
+}
+
 // TestTimeLeft guards against reservations of machines that do not become free: a task that has overrun
 // its expected end would be expected to end at once.
 func TestTimeLeft(t *testing.T) {
