placement: Do not take a spread gang's lack of room for that of others

What callers saw: a gang waits although it fits, as long as a gang of the same needs that must be spread over zones waits.

Cause: the class under which a pass remembers the size of gangs that do not fit left SpreadOverZones out.

Why this works: such a gang has no class, so nothing is remembered of it.

--- a/internal/placement/equivalence.go
+++ b/internal/placement/equivalence.go
@@ -38,10 +38,11 @@
 }
 
 // gangClass returns the class of a gang's tasks when they are tried in a zone. ok is false if feasible
-// machines also depend on the gang's failures or on tasks that it already has on machines.
+// machines also depend on the gang's failures, on tasks that it already has on machines, or on the number
+// of its tasks in a zone.
 func (j *Job) gangClass(zone int) (class gangClass, ok bool) {
 	hasTasks := slices.ContainsFunc(j.TasksInZone, func(tasks int) bool { return tasks > 0 })
-	if j.Avoid != nil || hasTasks {
+	if j.Avoid != nil || hasTasks || j.SpreadOverZones {
 		return gangClass{}, false
 	}
 	return gangClass{j.classOfTasks(), zone}, true
--- a/internal/placement/gang_test.go
+++ b/internal/placement/gang_test.go
@@ -47,3 +47,18 @@
 		t.Errorf("state after the rollback:\n%s\nwant the state before:\n%s", after, before)
 	}
 }
+
+// TestSpreadGangDoesNotHideRoom guards against gangs that wait although there is room: a gang that must be
+// spread over zones does not fit, because its tasks would all be in one zone. That says nothing about a
+// later gang of the same needs that may be in one zone.
+func TestSpreadGangDoesNotHideRoom(t *testing.T) {
+	machines := []Machine{{AcceptsTasks: true, Free: Amounts{CPU: 2}}}
+	gang := Job{Gang: true, Zone: AnyZone, Need: Amounts{CPU: 1}, Waiting: 2, Tasks: 2, Arrival: 1}
+	spread := gang
+	spread.SpreadOverZones, spread.Arrival = true, 0
+	spread.TasksInZone, gang.TasksInZone = make([]int, 2), make([]int, 2)
+	plan := Place(traceStart, machines, []Job{spread, gang}, []Team{{CPUsMax: 9}})
+	if len(plan.Assignments) != 2 || plan.Unplaced[1] != 0 {
+		t.Errorf("plan %+v, want both tasks of the second gang assigned", plan)
+	}
+}
