placement: Choose victims anew after the free resources of a machine change

What callers saw: a task is stopped to make room for a service that still does not fit.

Cause: the remembered choice of victims on a machine counted on free resources that another job had taken since.

Evidence, before: TestVictimsAreChosenAnewAfterPlacement: "tasks stopped by job map[0:1 2:1], want 1 for the first job and 2 for the third".

Why this works: each placement and each rollback drops the remembered choices on the machine.

--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -57,6 +57,12 @@
 // after each change of these tasks.
 func (p *pass) invalidateTasksOn(machineIndex int) {
 	p.taskEnds[machineIndex] = nil
+	p.invalidateOptionsOn(machineIndex)
+}
+
+// invalidateOptionsOn drops the cached choices of victims on a machine. It has to be called after each
+// change of the machine's free resources.
+func (p *pass) invalidateOptionsOn(machineIndex int) {
 	for _, options := range p.preemptionOptions {
 		options[machineIndex].state = optionUnknown
 	}
--- a/internal/placement/preemption_test.go
+++ b/internal/placement/preemption_test.go
@@ -135,3 +135,30 @@
 		t.Errorf("team uses %v CPUs, of which %v are stopping; want 4 and 3", team.CPUsUsed, team.stopping)
 	}
 }
+
+// TestVictimsAreChosenAnewAfterPlacement guards against tasks that are stopped in vain: victims were chosen
+// on a machine whose free resources another job has taken since, and would free too little.
+func TestVictimsAreChosenAnewAfterPlacement(t *testing.T) {
+	victim := func(id int, age time.Duration) Task {
+		return Task{ID: id, Need: Amounts{CPU: 1}, StartedAt: traceStart.Add(-age)}
+	}
+	machines := []Machine{
+		{AcceptsTasks: true, Free: Amounts{CPU: 1}, Tasks: []Task{victim(1, time.Hour), victim(2, time.Hour)}},
+		{AcceptsTasks: true, Free: Amounts{CPU: 1, Memory: 1}, Tasks: []Task{victim(3, time.Second)}},
+	}
+	urgent := func(arrival uint64, cpus float64) Job {
+		return Job{Urgent: true, Priority: 1, Arrival: arrival, Zone: AnyZone, Need: Amounts{CPU: cpus}, Waiting: 1, Tasks: 1, TasksInZone: make([]int, 1)}
+	}
+	jobs := []Job{urgent(1, 2), urgent(2, 1), urgent(3, 2)}
+	plan := Place(traceStart, machines, jobs, []Team{{CPUsMax: 99, CPUsUsed: 3}})
+	stopped := map[int]int{}
+	for _, preemption := range plan.Preemptions {
+		stopped[preemption.Job]++
+	}
+	if len(plan.Assignments) != 1 || plan.Assignments[0] != (Assignment{Job: 1, Machine: 0}) {
+		t.Fatalf("assignments %+v, want the second job on the first machine", plan.Assignments)
+	}
+	if stopped[0] != 1 || stopped[2] != 2 {
+		t.Errorf("tasks stopped by job %v, want 1 for the first job and 2 for the third", stopped)
+	}
+}
--- a/internal/placement/tasks.go
+++ b/internal/placement/tasks.go
@@ -73,6 +73,7 @@
 	p.beforeChange(job, machineIndex)
 	machine := &p.machines[machineIndex]
 	machine.Free = machine.Free.Add(job.Need, -1)
+	p.invalidateOptionsOn(machineIndex)
 	p.teamOf(job).book(job.Need)
 	job.TasksInZone[machine.Zone]++
 	if job.Image != nil && job.Image[machineIndex] == ImageMissing {
