api: Answer every poll of an ended job with the same counts

What callers saw: the fields `done` and `running` are in the first answer about an ended job and missing in later ones.

Cause: the cache of final states kept only the status.

--- a/internal/api/poll.go
+++ b/internal/api/poll.go
@@ -14,8 +14,8 @@
 
 // poll answers a request for a job's state.
 func (h *Handler) poll(ctx context.Context, id string) wire.Response {
-	if status, cached := h.finalStates.get(id); cached {
-		return respondOK(jobSummary{id, status})
+	if state, cached := h.finalStates.state(id); cached {
+		return respondOK(state)
 	}
 	state, err := h.lookup(ctx, id)
 	switch {
@@ -59,11 +59,10 @@
 	if err := wire.Unmarshal(item.Value, &final); err != nil {
 		return jobState{}, fmt.Errorf("api: decoding the final state of job %s: %w", id, err)
 	}
-	status := JobStatus(final.Status)
-	h.finalStates.put(id, status)
-	state := jobState{ID: id, Status: status}
-	if status == StatusDone {
+	state := jobState{ID: id, Status: JobStatus(final.Status)}
+	if state.Status == StatusDone {
 		state.Done = final.Tasks
 	}
+	h.finalStates.putState(state)
 	return state, nil
 }
--- a/internal/api/poll_test.go
+++ b/internal/api/poll_test.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"slices"
 	"testing"
 	"time"
@@ -95,3 +96,22 @@
 		}
 	})
 }
+
+// Guards against polls of a job that has ended whose content depends on earlier requests: the counts of
+// tasks once disappeared from the second poll on.
+func TestRepeatedPollOfFinishedJobIsTheSame(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		f.mustSubmit("wk-000001")
+		f.mustSubmit("wk-000002")
+		f.finish("wk-000001", StatusDone, 10)
+		f.finish("wk-000002", StatusCancelled, 10)
+		for _, id := range []string{"wk-000001", "wk-000002"} {
+			first := f.poll(id)
+			for range 2 {
+				if again := f.poll(id); !bytes.Equal(again.Body, first.Body) {
+					t.Errorf("%s: repeated poll answered %x, want %x as at first", id, again.Body, first.Body)
+				}
+			}
+		}
+	})
+}
--- a/internal/api/response.go
+++ b/internal/api/response.go
@@ -35,8 +35,7 @@
 	Running int       `cbor:"running"` // number of live attempts; 0 if the job is cancelled
 }
 
-// jobSummary is the body of the responses to successful submissions and cancellations, and to polls that
-// are answered from finalStateCache.
+// jobSummary is the body of the responses to successful submissions and cancellations.
 type jobSummary struct {
 	ID     string    `cbor:"uid"`
 	Status JobStatus `cbor:"status"`
