cancellation: Do not count a register as complete after it overflowed

What callers saw: after more than 4,096 cancellations in about a minute a controller may extend the leases of cancelled tasks; in an outage of the store these run beyond their deadline.

Cause: MergeAnswer set the time up to which the register is complete from an answer whose jobs the register had dropped, because it was full.

Evidence, before: TestOverflowWhileMerging: "staleness known: true, though the register lacks 4095 of the other's jobs".

--- a/internal/cancellation/replication.go
+++ b/internal/cancellation/replication.go
@@ -73,7 +73,9 @@
 	now := time.Now()
 	r.add(state.Jobs, now)
 	r.peerAnswers[node] = peerAnswer{askedAt: sentAt, retainedSince: now.Add(-state.RetainedFor), acknowledged: seq}
-	if state.StalenessKnown {
+	// Guards against a register that counts as complete although it lacks jobs: jobs of the other
+	// controller may have been dropped since the request, as this register was full.
+	if state.StalenessKnown && sentAt.After(r.retainedSince) {
 		r.advance(sentAt.Add(-state.Staleness))
 	}
 	r.advanceByMajority(now)
