cancellation: Let received jobs keep their age

What callers saw: after a restart or a short partition of a controller the cancelled jobs of that time stay in all registers for ever. A register that is full drops everything, and its controller extends no lease until it has read the store.

Cause: each register counted the retention period from its own receipt of a job, so that a dropped job came back from a register that had received it later, for a whole period, and so on.

Evidence, before: TestCancelledJobsDoNotCirculate (three controllers, one of them cut off for 30 s): "a holds the job 20s after the deadline of its tasks", and so do b and c.

--- a/internal/cancellation/register.go
+++ b/internal/cancellation/register.go
@@ -8,9 +8,8 @@
 )
 
 // retentionSlack is the part of a job's retention period that exceeds the deadline of its tasks.
-// The deadline counts from the confirmation, but in each register the retention period starts when
-// the job is added there. That may be before the confirmation. Registers may also add a job at very
-// different times, as one may receive it from another long after the other added it.
+// The deadline counts from the confirmation, but the retention period starts when the job is added
+// to the first register. That may be before the confirmation.
 const retentionSlack = 15 * time.Second
 
 // maxJobs is the maximum number of jobs in a register. One message between controllers carries
@@ -40,8 +39,9 @@
 
 // entry describes one cancelled job in a register.
 type entry struct {
-	sequence uint64 // position in the order in which jobs were added to this register
-	addedAt  time.Time
+	sequence  uint64    // position in the order in which jobs were added to this register
+	addedAt   time.Time // when the job was added, or earlier if another register added it before
+	keptSince time.Time // start of the retention period
 }
 
 // New returns an empty register for a controller in a cluster of the given number of
@@ -68,17 +68,25 @@
 // add implements Add. The caller holds mu.
 func (r *Register) add(ids []string, now time.Time) (added []string) {
 	for _, id := range ids {
-		if _, held := r.jobs[id]; held {
-			continue
+		if r.addOne(id, now, now) {
+			added = append(added, id)
 		}
-		r.ensureCapacity(now)
-		r.lastSequence++
-		r.jobs[id] = entry{sequence: r.lastSequence, addedAt: now}
-		added = append(added, id)
 	}
 	return added
 }
 
+// addOne adds a job whose retention period began at keptSince, and returns false if the register holds
+// it already. The caller holds mu.
+func (r *Register) addOne(id string, keptSince, now time.Time) bool {
+	if _, held := r.jobs[id]; held {
+		return false
+	}
+	r.ensureCapacity(now)
+	r.lastSequence++
+	r.jobs[id] = entry{sequence: r.lastSequence, addedAt: keptSince, keptSince: keptSince}
+	return true
+}
+
 // ensureCapacity ensures that one more job can be added. If the register is full of jobs that are
 // still within their retention period, it drops all of them, sets retainedSince to now and clears
 // completeUntil. Like the register of a new incarnation of the process, the register then covers no
@@ -100,7 +108,7 @@
 // caller holds mu.
 func (r *Register) expire(now time.Time) {
 	for id, job := range r.jobs {
-		if elapsed(now, job.addedAt) >= r.retention {
+		if elapsed(now, job.keptSince) >= r.retention {
 			delete(r.jobs, id)
 		}
 	}
@@ -114,8 +122,8 @@
 	return held
 }
 
-// AddedBefore returns, in no particular order, the jobs that were added to this register at least
-// minAge ago and are still kept.
+// AddedBefore returns, in no particular order, the jobs that were added to this register, or to the one
+// from which it received them, at least minAge ago and are still kept.
 func (r *Register) AddedBefore(minAge time.Duration) (ids []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/cancellation/replication.go
+++ b/internal/cancellation/replication.go
@@ -26,8 +26,13 @@
 
 // State is the state of a controller's register, as sent in a heartbeat or in the answer to one.
 type State struct {
-	Jobs     []string // IDs of all jobs in the register, in no particular order
-	Sequence uint64   // sequence number of the job added last; not sent to other controllers
+	Jobs []string // IDs of all jobs in the register, in no particular order
+
+	// Ages holds the time since the start of the retention period of each of Jobs, in the same order. It
+	// is nil if the controller runs an older version, which does not send it.
+	Ages []time.Duration
+
+	Sequence uint64 // sequence number of the job added last; not sent to other controllers
 
 	// Time since the start of the incarnation or since the register last dropped jobs before the
 	// end of their retention period, whichever is shorter.
@@ -51,11 +56,14 @@
 	now := time.Now()
 	r.expire(now)
 	ids := make([]string, 0, len(r.jobs))
-	for id := range r.jobs {
+	ages := make([]time.Duration, 0, len(r.jobs))
+	for id, job := range r.jobs {
 		ids = append(ids, id)
+		ages = append(ages, elapsed(now, job.keptSince))
 	}
 	return State{
 		Jobs:           ids,
+		Ages:           ages,
 		Sequence:       r.lastSequence,
 		RetainedFor:    now.Sub(r.retainedSince),
 		Staleness:      elapsed(now, r.completeUntil),
@@ -63,6 +71,37 @@
 	}
 }
 
+// Merge merges the jobs in the state that another controller has sent, as a request or as an answer. It
+// returns those that the register did not hold yet.
+//
+// Guards against jobs that circulate without end and fill the registers: a job that is received again
+// after it was dropped keeps the age that it has in the other register.
+func (r *Register) Merge(state State) (added []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.merge(state, time.Now())
+}
+
+// merge implements Merge. The caller holds mu.
+func (r *Register) merge(state State, now time.Time) (added []string) {
+	if len(state.Ages) != len(state.Jobs) {
+		return r.add(state.Jobs, now)
+	}
+	for i, id := range state.Jobs {
+		keptSince := now.Add(-state.Ages[i])
+		if state.Ages[i] >= r.retention {
+			continue
+		}
+		if r.addOne(id, keptSince, now) {
+			added = append(added, id)
+		} else if job := r.jobs[id]; keptSince.After(job.keptSince) {
+			job.keptSince = keptSince // renewed by another controller
+			r.jobs[id] = job
+		}
+	}
+	return added
+}
+
 // MergeAnswer merges the state that another controller, named node, returned in answer to a
 // request. The request was sent at sentAt and carried the State of this register with the
 // sequence number seq. By answering, the other controller acknowledges that it has merged that
@@ -71,7 +110,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.add(state.Jobs, now)
+	r.merge(state, now)
 	r.peerAnswers[node] = peerAnswer{askedAt: sentAt, retainedSince: now.Add(-state.RetainedFor), acknowledged: seq}
 	// Guards against a register that counts as complete although it lacks jobs: jobs of the other
 	// controller may have been dropped since the request, as this register was full.
--- a/internal/peer/heartbeats.go
+++ b/internal/peer/heartbeats.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	g.node.ObserveLeadership(heartbeat.Leader, heartbeat.Term)
-	if added := g.config.Register.Add(heartbeat.Cancelled...); len(added) > 0 {
+	if added := g.config.Register.Merge(cancellationState(heartbeat)); len(added) > 0 {
 		g.node.JobsCancelled(added)
 	}
 	g.node.ObserveConfirmedGone(decodeAttempts(heartbeat.Gone))
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -48,6 +48,8 @@
 		Cancelled:  register.Jobs,
 		Gangs:      true,
 		MemoryMs:   uint64(register.RetainedFor.Milliseconds()),
+
+		CancelledAgeS: encodeAges(register.Ages),
 	}
 	if register.StalenessKnown {
 		heartbeat.KnownMs = uint64(register.Staleness.Milliseconds()) + stalenessOffsetMs
@@ -74,6 +76,24 @@
 	return attempts
 }
 
+// encodeAges returns ages in seconds, rounded up. Rounded down, a job could be received again after it was
+// dropped, and circulate without end.
+func encodeAges(ages []time.Duration) []uint32 {
+	seconds := make([]uint32, 0, len(ages))
+	for _, age := range ages {
+		seconds = append(seconds, uint32((age+time.Second-1)/time.Second))
+	}
+	return seconds
+}
+
+func decodeAges(seconds []uint32) []time.Duration {
+	ages := make([]time.Duration, 0, len(seconds))
+	for _, age := range seconds {
+		ages = append(ages, time.Duration(age)*time.Second)
+	}
+	return ages
+}
+
 func encodeAttempts(ids []job.AttemptID) []*Attempt {
 	messages := make([]*Attempt, 0, len(ids))
 	for _, id := range ids {
@@ -95,6 +115,7 @@
 func cancellationState(heartbeat *Heartbeat) cancellation.State {
 	return cancellation.State{
 		Jobs:           heartbeat.Cancelled,
+		Ages:           decodeAges(heartbeat.CancelledAgeS),
 		RetainedFor:    time.Duration(heartbeat.MemoryMs) * time.Millisecond,
 		Staleness:      time.Duration(heartbeat.KnownMs) * time.Millisecond,
 		StalenessKnown: heartbeat.KnownMs != 0,
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -355,3 +355,28 @@
 		t.Errorf("term %d, cancelled jobs %v and changed jobs %v observed, want none", node.term, node.cancelled, node.changed)
 	}
 }
+
+// Guards against registers of cancelled jobs that fill up until they overflow: a job that a controller has
+// dropped after its retention period came back from another, which had received it later, without end.
+func TestCancelledJobsDoNotCirculate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := startGroup(t)
+		isolated := func(from, to string) bool { return (from == "c") != (to == "c") }
+		g.network.SetFaults(fake.NetworkFaults{Partition: isolated})
+		g.registers["a"].Add("wk-000001")
+		time.Sleep(30 * time.Second)
+		g.network.SetFaults(fake.NetworkFaults{}) // c receives the job 30 s after the others
+		time.Sleep(cancelDeadline - 30*time.Second)
+		for name, register := range g.registers {
+			if !register.Contains("wk-000001") {
+				t.Errorf("%s has dropped the job before the deadline of its tasks", name)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		for name, register := range g.registers {
+			if register.Contains("wk-000001") {
+				t.Errorf("%s holds the job 20s after the deadline of its tasks", name)
+			}
+		}
+	})
+}
