cancellation: Keep a cancellation until its deadline, however late it is confirmed

What callers saw: a cancellation that is first confirmed more than 15 s after it was recorded is forgotten by all controllers before the deadline of its tasks; in an outage of the store these could run beyond it.

Cause: the retention period counts from the time at which the job was added, the deadline from the confirmation.

Evidence, before: TestLateConfirmationRenewsRetention (confirmed after 40 s): "0 of 3 controllers hold the job until the deadline of its tasks, want a majority".

Why this works: a confirmation requires that the period began less than 5 s ago, or is renewed and acknowledged by a majority, as a new job is.

--- a/internal/cancellation/register.go
+++ b/internal/cancellation/register.go
@@ -9,9 +9,13 @@
 
 // retentionSlack is the part of a job's retention period that exceeds the deadline of its tasks.
 // The deadline counts from the confirmation, but the retention period starts when the job is added
-// to the first register. That may be before the confirmation.
+// to the first register, or is renewed (Register.Renew), shortly before the confirmation.
 const retentionSlack = 15 * time.Second
 
+// renewAfter is the time since the start of a job's retention period after which the cancellation is
+// not confirmed without a renewal. It leaves most of retentionSlack for the replication of the renewal.
+const renewAfter = retentionSlack / 3
+
 // maxJobs is the maximum number of jobs in a register. One message between controllers carries
 // all of them, and controllers of earlier versions accept no larger messages (docs/size.md).
 const maxJobs = 4096
@@ -20,7 +24,7 @@
 // a new incarnation of the process starts with an empty one. It is safe for concurrent use.
 type Register struct {
 	majority  int           // number of controllers that form a majority, this one included
-	retention time.Duration // period for which a job is kept after it was added
+	retention time.Duration // period for which a job is kept after it was added or renewed
 
 	mu           sync.Mutex       // guards the fields below
 	jobs         map[string]entry // cancelled jobs by job ID
@@ -39,7 +43,7 @@
 
 // entry describes one cancelled job in a register.
 type entry struct {
-	sequence  uint64    // position in the order in which jobs were added to this register
+	sequence  uint64    // position in the order in which jobs were added to this register or renewed
 	addedAt   time.Time // when the job was added, or earlier if another register added it before
 	keptSince time.Time // start of the retention period
 }
@@ -87,6 +91,25 @@
 	return true
 }
 
+// Renew begins the retention period of a job anew, unless it began less than renewAfter ago or the
+// register does not hold the job. The other controllers then have to acknowledge the job again. It is
+// called before the cancellation is confirmed to a user.
+//
+// Guards against a register that drops a job before the deadline of its tasks: the deadline counts from
+// the confirmation, which may come long after the job was added.
+func (r *Register) Renew(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	job, held := r.jobs[id]
+	now := time.Now()
+	if !held || elapsed(now, job.keptSince) < renewAfter {
+		return
+	}
+	r.lastSequence++
+	job.sequence, job.keptSince = r.lastSequence, now
+	r.jobs[id] = job
+}
+
 // ensureCapacity ensures that one more job can be added. If the register is full of jobs that are
 // still within their retention period, it drops all of them, sets retainedSince to now and clears
 // completeUntil. Like the register of a new incarnation of the process, the register then covers no
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -380,3 +380,27 @@
 		}
 	})
 }
+
+// Guards against a register that drops a job before the deadline of its tasks: the cancellation is first
+// confirmed long after it was recorded, and the deadline counts from the confirmation.
+func TestLateConfirmationRenewsRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := startGroup(t)
+		time.Sleep(time.Second)
+		g.registers["a"].Add("wk-000001")
+		time.Sleep(40 * time.Second)
+		if !g.groups["a"].ReplicateCancellation(t.Context(), "wk-000001") {
+			t.Fatal("cancellation not held by a majority")
+		}
+		time.Sleep(cancelDeadline)
+		holders := 0
+		for _, register := range g.registers {
+			if register.Contains("wk-000001") {
+				holders++
+			}
+		}
+		if holders < 2 {
+			t.Errorf("%d of 3 controllers hold the job until the deadline of its tasks, want a majority", holders)
+		}
+	})
+}
--- a/internal/peer/replication.go
+++ b/internal/peer/replication.go
@@ -9,11 +9,13 @@
 )
 
 // ReplicateCancellation replicates the cancellation of a job to a majority of the controllers, this
-// one included, and reports whether a majority holds it. The job must be in the register. The call
+// one included, and reports whether a majority holds it for long enough after a confirmation that is
+// given now. The job must be in the register. The call
 // returns as soon as a majority holds the cancellation, every member's heartbeat has been answered or
 // has failed, ctx has ended, or requestTimeout has passed. Concurrent callers share heartbeats.
 func (g *Group) ReplicateCancellation(ctx context.Context, job string) bool {
 	register := g.config.Register
+	register.Renew(job)
 	if register.HeldByMajority(job) {
 		return true
 	}
