jobstore: Record ends of a cancelled job beside a withdrawn start

What callers saw: a new leader takes ended tasks of a cancelled job for running and may return their machines, with the tasks of others on them.

Cause: a withdrawn start stayed in the chunk's count of unrecorded starts, and such a chunk of a cancelled job is not due.

Evidence, before: TestEndIsRecordedBesideWithdrawnStart: "batch <nil> after the end of an attempt, want a write of its chunk".

Why this works: the chunk waits only while an unrecorded attempt is live. Starts of cancelled jobs are still not recorded; the test checks both.

--- a/internal/jobstore/candidate.go
+++ b/internal/jobstore/candidate.go
@@ -112,9 +112,11 @@
 	if !c.dirty {
 		return urgencyDeferrable, false
 	}
-	if c.unrecordedStarts > 0 {
-		// The starts of a cancelled job are about to be withdrawn unsent.
-		return urgencyStart + urgency(j.Spec.Rank()), !j.Cancelled
+	if c.unrecordedStarts > 0 && !j.Cancelled {
+		return urgencyStart + urgency(j.Spec.Rank()), true
+	}
+	if j.Cancelled && len(j.unrecordedAttempts(c.index)) > 0 {
+		return urgencyDeferrable, false // the starts are about to be withdrawn unsent
 	}
 	waited := now.Sub(c.dirtySince)
 	if waited >= maxDeferral {
--- a/internal/jobstore/lifecycle_test.go
+++ b/internal/jobstore/lifecycle_test.go
@@ -108,3 +108,27 @@
 		}
 	}
 }
+
+// Guards against ends of cancelled tasks that are never recorded: the chunk also had a start that was
+// withdrawn before it was recorded. A new leader would take the ended attempt for live.
+func TestEndIsRecordedBesideWithdrawnStart(t *testing.T) {
+	store := New()
+	array := addArray(t, store, testID, 3, 10)
+	running := startRecorded(t, store, array, 0, 11)
+	ended := startRecorded(t, store, array, 1, 12)
+	start(store, array, 2, startTime)
+	store.MarkCancelled(testID, startTime)
+	if batch := nextBatch(store, startTime.Add(maxDeferral)); batch != nil {
+		t.Fatalf("batch with the start of a cancelled job: %+v", batch.Mutations)
+	}
+	store.WithdrawUnrecorded(array, startTime)
+	store.EndAttempt(ended, false, startTime)
+	batch := nextBatch(store, startTime.Add(maxDeferral))
+	if batch == nil || batch.Mutations[0].Put != "job/wk-000001/000000" {
+		t.Fatalf("batch %+v after the end of an attempt, want a write of its chunk", batch)
+	}
+	store.BatchCommitted(batch, 13)
+	if !array.ResultDurable(1) || array.tasks.live[0] != running {
+		t.Errorf("end of the attempt is not recorded, or the running attempt is not live")
+	}
+}
