jobstore: Do not take a chunk with a negative number for a job's record

Whoever wrote or deleted job/ID/-1 by hand had the leader drop the job, or the replicas take the value for its record.

Cause: SplitKey returns -1 for the key of the record, and parsed negative numbers of chunks.

Why this works: a chunk's number has to be digits only; other keys are logged and left alone, as before.

--- a/internal/jobstore/codec_test.go
+++ b/internal/jobstore/codec_test.go
@@ -214,6 +214,16 @@
 	}
 }
 
+// Guards against jobs that are dropped or replaced: the key of a chunk with a negative number was taken for
+// that of the job's record.
+func TestNegativeChunkNumberIsNoRecord(t *testing.T) {
+	for _, key := range []string{"job/wk-000001/-1", "job/wk-000001/-00002", "job/wk-000001/+1"} {
+		if id, chunk, ok := SplitKey(key); ok {
+			t.Errorf("SplitKey(%q) = %q, %d, want not ok", key, id, chunk)
+		}
+	}
+}
+
 // Guards against chunks with too many tasks, which could not be written (docs/records.md has the two
 // sizes).
 func TestTasksPerChunk(t *testing.T) {
--- a/internal/jobstore/keys.go
+++ b/internal/jobstore/keys.go
@@ -26,7 +26,8 @@
 func chunkKey(id string, number int) string { return fmt.Sprintf("%s%s/%06d", JobPrefix, id, number) }
 
 // SplitKey parses a key under JobPrefix into the job's ID and the chunk's number, which is -1 for the
-// key of the job's record. It returns ok as false if the key is of neither form.
+// key of the job's record. It returns ok as false if the key is of neither form. A chunk's number is not
+// negative: the key of a chunk must never be taken for that of the record, whose deletion ends the job.
 func SplitKey(key string) (id string, chunk int, ok bool) {
 	id, chunkText, isChunk := strings.Cut(strings.TrimPrefix(key, JobPrefix), "/")
 	if !job.ValidID(id) {
@@ -35,6 +36,6 @@
 	if !isChunk {
 		return id, -1, true
 	}
-	chunk, err := strconv.Atoi(chunkText)
-	return id, chunk, err == nil
+	number, err := strconv.ParseUint(chunkText, 10, 31)
+	return id, int(number), err == nil
 }
