leadership: Name an adopted term to the others

What callers saw: after an advance without an answer the leader goes on naming the earlier term to other controllers.

Cause: Advance adopted the term for its own use and did not update the candidate's view.

Evidence, before: TestAdoptedTermIsNamed: `a names leader "a" of term 1, want "a" of its own term 2`.

Why this works: both branches use Term.adopt, which updates term and view.

--- a/internal/leadership/term.go
+++ b/internal/leadership/term.go
@@ -66,16 +66,21 @@
 	case advanceDeposed:
 		return fmt.Errorf("leadership: advance term %d: %w", t.Number(), ErrDeposed)
 	case advanceWasApplied:
-		t.setIssued(state.latest)
+		t.adopt(state.latest)
 		return nil
 	}
 	issued, err := t.candidate.claimNextTerm(ctx, t.lease, state)
 	if err != nil {
 		return err
 	}
+	t.adopt(issued)
+	return nil
+}
+
+// adopt records a term that was issued to this leader, also in the candidate's view.
+func (t *Term) adopt(issued issuedTerm) {
 	t.setIssued(issued)
 	t.candidate.observe(t.candidate.Node, issued.number)
-	return nil
 }
 
 // Resign revokes the lease, so that another node can be elected at once. A failure is only
