leader: Adopt the term of an advance that was executed late

What callers saw: a leader steps down though no other was elected; nothing is placed until the next one has started.

Cause: an advance of the term that got no answer, and was executed after it was read back in vain, changes the key that all writes compare. The next write was refused, and the leader took that for another's election.

Why this works: after such a refusal the leader reads the election's keys, and adopts the term only if one transaction wrote both keys under its own lease, which no other node and no later process of this node can do.

--- a/internal/leader/writer.go
+++ b/internal/leader/writer.go
@@ -9,6 +9,7 @@
 	"tulipshelf/internal/clock"
 	"tulipshelf/internal/jobstore"
 	"tulipshelf/internal/kvstore"
+	"tulipshelf/internal/leadership"
 )
 
 // recordWriter makes the leader's decisions durable, one transaction at a time, each conditional on the
@@ -90,7 +91,7 @@
 	slog.Debug("batch not written: compares failed", "keys", conflict.Keys)
 	for _, key := range conflict.Keys {
 		if key == e.fence.Key && l.term.Fence() == e.fence {
-			l.stop(errTermSuperseded)
+			l.writer.adoptTerm()
 			return
 		}
 	}
@@ -268,6 +269,38 @@
 	})
 }
 
+// adoptTerm reads whether the term that a compare has shown is the leader's own, issued to it by an advance
+// that was not answered. The writer is busy until that is known. A failed read is repeated: if it fails
+// until the lease ends, the leader ends with it.
+//
+// Guards against leaders that end although no other was elected (docs/incidents/unanswered-advance.md).
+func (w *recordWriter) adoptTerm() {
+	w.requestPending = true
+	w.loop.start(func() {
+		err := w.term.AdoptLatest(w.loop.ctx)
+		for err != nil && !errors.Is(err, leadership.ErrDeposed) {
+			slog.Debug("term not read after a refused write", "err", err)
+			if !clock.Sleep(w.loop.ctx, writeRetryInterval) {
+				return
+			}
+			err = w.term.AdoptLatest(w.loop.ctx)
+		}
+		w.loop.submit(termAdopted{err})
+	})
+}
+
+// termAdopted ends adoptTerm. The error, if any, wraps leadership.ErrDeposed.
+type termAdopted struct{ err error }
+
+func (e termAdopted) apply(l *Leader) {
+	if e.err != nil {
+		l.stop(errTermSuperseded)
+		return
+	}
+	slog.Info("term advanced by an unanswered request", "term", l.term.Number())
+	termAdvanced{}.apply(l)
+}
+
 // termAdvanced ends an advance of the term, successful or not.
 type termAdvanced struct{}
 
--- a/internal/leader/writer_test.go
+++ b/internal/leader/writer_test.go
@@ -62,6 +62,55 @@
 	}
 }
 
+// Guards against a leader that ends although no other was elected: an advance of its own term got no answer
+// and was executed late. The leader adopts the term and goes on writing.
+func TestLateAdvanceDoesNotDepose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute) // lets requests in flight end
+		}()
+		network, store := fake.NewNetwork(ctx), fake.NewStore()
+		go network.Serve(ctx, storeAddr, store.Handle)
+		synctest.Wait()
+		client := kvstore.New(network.Dial("10.0.0.1:8080"), storeAddr, 200, 60)
+		candidate := &leadership.Candidate{Node: "node-0", LeaseTTL: 4 * time.Second, Store: client}
+		terms, ended := make(chan *leadership.Term, 1), make(chan error, 1)
+		go candidate.Run(ctx, func(ctx context.Context, term *leadership.Term) {
+			terms <- term
+			ended <- New(ctx, writerTestConfig(client, network), term).Run()
+		})
+		term := <-terms
+		time.Sleep(time.Second)
+		store.SetFaults(fake.StoreFaults{HoldNext: 1, HoldPrefix: "lead/"})
+		if err := term.Advance(ctx); !errors.Is(err, kvstore.ErrUnknown) {
+			t.Fatalf("Advance: error %v, want ErrUnknown", err)
+		}
+		store.ReleaseHeld()
+		putCancelledJob(t, client)
+		time.Sleep(5 * time.Second)
+		select {
+		case err := <-ended:
+			t.Errorf("leader ended: %v", err)
+		default:
+		}
+		if keys := store.Keys(jobstore.EndKey("")); len(keys) != 1 || term.Number() != 2 {
+			t.Errorf("term %d, ends of jobs %q; want term 2 and the end of the cancelled job", term.Number(), keys)
+		}
+	})
+}
+
+// putCancelledJob writes the record of a cancelled job, whose end the leader then records.
+func putCancelledJob(t *testing.T, client *kvstore.Client) {
+	t.Helper()
+	record := jobstore.Record{Spec: arrayRecord("wk-000001", 1).Spec, ChunkSize: 100, CancelledMS: time.Now().UnixMilli()}
+	mutations := []kvstore.Mutation{{Put: jobstore.JobKey("wk-000001"), Value: wire.Marshal(record)}}
+	if _, err := client.Txn(t.Context(), nil, mutations, kvstore.PriorityUser); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func writerTestConfig(store *kvstore.Client, network *fake.Network) Config {
 	settings := &config.Settings{Zones: []string{"a"}, Teams: []config.Team{{Name: "crew", MaxCPUs: 100}},
 		Workers:   config.Workers{HeartbeatInterval: 5 * time.Second, Lease: 26 * time.Second, CancelDeadline: 51 * time.Second},
--- a/internal/leadership/state.go
+++ b/internal/leadership/state.go
@@ -60,8 +60,13 @@
 // writtenBy reports whether s was written by the transaction of the claim. Only this
 // transaction writes both keys at the same revision, with the claim's lease and term.
 func (s electionState) writtenBy(sent claim) bool {
-	oneTransaction := s.holderRevision == s.latest.revision
-	return oneTransaction && s.holder.Lease == sent.lease && s.latest.number == sent.number
+	return s.latestHeldUnder(sent.lease) && s.latest.number == sent.number
+}
+
+// latestHeldUnder reports whether the latest term was taken by a leader with the given lease: only a claim
+// writes both keys in one transaction.
+func (s electionState) latestHeldUnder(lease uint64) bool {
+	return s.holder.Lease == lease && s.holderRevision == s.latest.revision
 }
 
 // advanceStep is the next action of a leader that wants a new term.
--- a/internal/leadership/term.go
+++ b/internal/leadership/term.go
@@ -77,6 +77,22 @@
 	return nil
 }
 
+// AdoptLatest adopts the latest term in the key-value store if an earlier Advance without a response has
+// taken it. It is called after a write was refused by the compare of Fence.
+//
+// The error wraps ErrDeposed if the leadership has ended, and is otherwise the error of the read.
+func (t *Term) AdoptLatest(ctx context.Context) error {
+	state, err := t.candidate.readState(ctx)
+	if err != nil {
+		return err
+	}
+	if !state.latestHeldUnder(t.lease) {
+		return fmt.Errorf("leadership: adopt term %d: %w", state.latest.number, ErrDeposed)
+	}
+	t.adopt(state.latest)
+	return nil
+}
+
 // adopt records a term that was issued to this leader, also in the candidate's view.
 func (t *Term) adopt(issued issuedTerm) {
 	t.setIssued(issued)
