leadership: Do not name a node as leader while it hands over

What callers saw: for up to 1.5 times the lease after a transfer the node names itself; without another candidate the others rely on it and return no machines with overdue cancelled tasks.

Cause: the view of the node's own leadership ended after the pause of the transfer.

Evidence, before: TestNodeIsNotNamedAfterTransfer: `a names leader "a" of term 1 in the pause of its transfer, want none`.

Why this works: the view ends with the leader's work. Transfers and elections are otherwise as before.

--- a/internal/leadership/candidate.go
+++ b/internal/leadership/candidate.go
@@ -29,7 +29,7 @@
 }
 
 // Leader returns the name of the last known leader, "" if unknown, and the highest known term.
-// A node names itself only while it leads or transfers its leadership.
+// A node names itself only while it leads.
 func (c *Candidate) Leader() (string, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -40,11 +40,6 @@
 	c.mu.Lock()
 	c.view.beginTerm(term, cancel)
 	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		c.view.endTerm(c.Node)
-		c.mu.Unlock()
-	}()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -54,14 +49,23 @@
 	c.renewUntilLost(leadCtx, term)
 	cancel()
 	<-done
-	c.mu.Lock()
-	transferring := c.view.transferring()
-	c.mu.Unlock()
-	if transferring {
+	if transferred := c.endTerm(); transferred {
 		c.completeTransfer(ctx, term)
 	}
 }
 
+// endTerm records that this node no longer leads, and reports whether it transfers its leadership.
+//
+// Guards against controllers that rely on a leader where there is none: during the pause of a transfer
+// this node would name itself, and the others would not return machines with overdue cancelled tasks.
+func (c *Candidate) endTerm() (transferring bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	transferring = c.view.transferring()
+	c.view.endTerm(c.Node)
+	return transferring
+}
+
 // renewUntilLost renews the lease until it has expired or ctx ends. A renewal that fails for any
 // other reason is retried: the key-value store restarts every lease with its full TTL after an
 // outage, so no other node can be elected during the outage.
--- a/internal/leadership/view.go
+++ b/internal/leadership/view.go
@@ -18,7 +18,7 @@
 	checkingToken bool // whether a check of a higher fencing token is running
 }
 
-// activeTerm is a leadership of this node, until its end or until its transfer is complete.
+// activeTerm is a leadership of this node, until its work has ended.
 type activeTerm struct {
 	term         *Term
 	cancel       context.CancelFunc // cancels the context of the leader's work
@@ -26,7 +26,7 @@
 }
 
 // knownLeader returns the leader, "" if unknown, and the highest known term, for publication to
-// others. The node, self, names itself only while it leads or transfers its leadership: a peer
+// others. The node, self, names itself only while it leads: a peer
 // may have named an earlier process of the node as the leader.
 func (v *view) knownLeader(self string) (string, uint64) {
 	if v.leader == self && v.current == nil {
