leadership: Send renewals at a fixed interval, however slow their answers

What callers saw: while the store answers more slowly than a third of the lease, the leader starts and records nothing, although it holds the lease, so that nobody else can do so either.

Cause: a renewal was given up after a third of the lease and the next one sent after it. Two slow answers in a row take longer than the lease is known to be valid. The loop also sent one renewal after the end of the leadership.

Why this works: a slow answer counts from the time at which its request was sent, as long as it comes within the lease, and does not delay the next renewal. At most four are in flight.

--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -6,19 +6,16 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"time"
 
 	"tulipshelf/internal/clock"
 	"tulipshelf/internal/kvstore"
 )
 
-// Pause before each renewal and timeout of its request, as divisors of the lease's TTL. If one
-// renewal is answered quickly and the next times out, a third is sent about 1/4 + 1/3 + 1/4 = 5/6 of
-// a TTL after the first, and so before the lease expires.
-const (
-	renewIntervalDivisor = 4
-	renewTimeoutDivisor  = 3
-)
+// renewIntervalDivisor determines the interval at which renewals are sent: the lease's TTL divided by it.
+// It is also the maximum number of renewals in flight, as each may take as long as the TTL.
+const renewIntervalDivisor = 4
 
 // clockDriftMargin is the fraction of a lease's TTL by which a leader treats the lease as shorter.
 // It is twice the bound on the drift of a monotonic clock, as this node's clock may be slow and
@@ -67,32 +64,50 @@
 }
 
 // renewUntilLost renews the lease until it has expired or ctx ends. A renewal that fails for any
-// other reason is retried: the key-value store restarts every lease with its full TTL after an
-// outage, so no other node can be elected during the outage.
+// other reason is followed by the next: the key-value store restarts every lease with its full TTL after
+// an outage, so no other node can be elected during the outage.
+//
+// Renewals are sent at a fixed interval, whether or not earlier ones have been answered. Guards against
+// leaders that pause although they hold the lease: two slow answers in a row would take longer than the
+// lease is known to be valid (docs/incidents/slow-renewals.md).
 func (c *Candidate) renewUntilLost(ctx context.Context, term *Term) {
-	for ctx.Err() == nil {
-		clock.Sleep(ctx, c.LeaseTTL/renewIntervalDivisor)
-		err := c.renew(ctx, term)
-		if errors.Is(err, kvstore.ErrNotFound) {
-			slog.Info("leadership lost: lease expired", "term", term.Number())
-			return
-		}
-		if err != nil && ctx.Err() == nil {
-			slog.Debug("lease not renewed", "term", term.Number(), "err", err)
-		}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var inFlight sync.WaitGroup
+	defer inFlight.Wait()
+	for clock.Sleep(ctx, c.LeaseTTL/renewIntervalDivisor) {
+		inFlight.Go(func() {
+			if c.renewOnce(ctx, term) {
+				cancel()
+			}
+		})
+	}
+}
+
+// renewOnce renews the lease and reports whether it has been lost.
+func (c *Candidate) renewOnce(ctx context.Context, term *Term) (lost bool) {
+	err := c.renew(ctx, term)
+	switch {
+	case err == nil || ctx.Err() != nil:
+		return false
+	case errors.Is(err, kvstore.ErrNotFound):
+		slog.Info("leadership lost: lease expired", "term", term.Number())
+		return true
 	}
+	slog.Debug("lease not renewed", "term", term.Number(), "err", err)
+	return false
 }
 
-// renew renews the lease once. The error is that of kvstore.Client.Extend: kvstore.ErrNotFound
-// means that the lease has expired or was revoked.
+// renew sends one renewal and waits for its answer, at most for the TTL. The error is that of
+// kvstore.Client.Extend: kvstore.ErrNotFound means that the lease has expired or was revoked.
 func (c *Candidate) renew(ctx context.Context, term *Term) error {
-	ctx, cancel := context.WithTimeout(ctx, c.LeaseTTL/renewTimeoutDivisor)
+	ctx, cancel := context.WithTimeout(ctx, c.LeaseTTL)
 	defer cancel()
 	sent := time.Now()
 	if err := c.Store.Extend(ctx, term.lease); err != nil {
 		return err
 	}
-	term.setValidUntil(leaseValidUntil(sent, c.LeaseTTL))
+	term.extendValidity(leaseValidUntil(sent, c.LeaseTTL))
 	return nil
 }
 
--- a/internal/leadership/term.go
+++ b/internal/leadership/term.go
@@ -121,10 +121,12 @@
 	t.issued = issued
 }
 
-// setValidUntil records the time before which no other node can be elected, after a renewal of
-// the lease.
-func (t *Term) setValidUntil(validUntil time.Time) {
+// extendValidity records a time before which no other node can be elected, after a renewal of the lease.
+// An earlier one than is known is ignored: renewals may be answered out of order.
+func (t *Term) extendValidity(validUntil time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.validUntil = validUntil
+	if validUntil.After(t.validUntil) {
+		t.validUntil = validUntil
+	}
 }
