leader: Keep jobs with unreadable chunks or records as they are

What callers saw: if a stored chunk cannot be decoded, a new leader starts its tasks again, also those that still run on a machine that does not answer. If a record cannot be decoded, the job's chunks are deleted, and its progress is lost.

Cause: after the error of LoadChunk, which says that the Store must not be used, the leader went on with the job, whose tasks seemed to wait. Chunks of an unreadable record were taken for the remains of an ended job.

Evidence, before (three controllers on the fakes, restarted over a value that cannot be decoded):

Why this works: an unreadable job starts no task and writes nothing, so neither its tasks nor its values change until the value is repaired; other jobs are served (the test runs one).

--- a/internal/jobstore/candidate.go
+++ b/internal/jobstore/candidate.go
@@ -109,7 +109,7 @@
 
 // chunkUrgency returns the urgency of writing a chunk, and whether the write is due at now.
 func (j *Job) chunkUrgency(c *chunk, now time.Time) (level urgency, due bool) {
-	if !c.dirty {
+	if !c.dirty || j.unreadable {
 		return urgencyDeferrable, false
 	}
 	if c.unrecordedStarts > 0 && !j.Cancelled {
--- a/internal/jobstore/capacity.go
+++ b/internal/jobstore/capacity.go
@@ -23,6 +23,9 @@
 // NextStartable returns the first task at or after from that may start now, or -1 if there is none. The
 // largest value that the key-value store accepts is valueBytes, in bytes.
 func (j *Job) NextStartable(from, valueBytes int) int {
+	if j.unreadable {
+		return -1
+	}
 	limit := TasksPerChunk(valueBytes)
 	task := j.tasks.nextWaiting(from)
 	if j.record.ChunkSize <= limit {
--- a/internal/jobstore/job.go
+++ b/internal/jobstore/job.go
@@ -32,6 +32,11 @@
 
 	gangDispatch gangDispatchState
 
+	// unreadable is whether a stored chunk of the job could not be loaded. The states of its tasks are then
+	// unknown: none is started, and neither a chunk nor the end of the job is written, until a later leader
+	// can load the chunk.
+	unreadable bool
+
 	// endInFlight is whether the batch that records the end of the job has not been answered. The answer
 	// then determines which of the job's chunks are garbage, whichever of answer and watch comes first.
 	endInFlight bool
@@ -43,14 +48,18 @@
 // LiveTasks returns the number of tasks with an attempt that is not proven gone.
 func (j *Job) LiveTasks() int { return len(j.tasks.live) }
 
-// WaitingTasks returns the number of tasks that wait for a machine. It is 0 for a cancelled job.
+// WaitingTasks returns the number of tasks that wait for a machine. It is 0 for a cancelled or an unreadable
+// job.
 func (j *Job) WaitingTasks() int {
-	if j.Cancelled {
+	if j.Cancelled || j.unreadable {
 		return 0
 	}
 	return j.tasks.waiting()
 }
 
+// Unreadable reports whether a stored chunk of the job could not be loaded (Store.LoadChunk).
+func (j *Job) Unreadable() bool { return j.unreadable }
+
 // EachAttempt calls f for each live attempt, in unspecified order.
 func (j *Job) EachAttempt(f func(*Attempt)) {
 	for _, attempt := range j.tasks.live {
@@ -74,6 +83,9 @@
 // cancelled and has no live attempt. The result is not cached: a new leader reads the record of a
 // cancelled job before the chunks with its live attempts, and so finds no live attempt at first.
 func (j *Job) readyToEnd() bool {
+	if j.unreadable {
+		return false
+	}
 	if j.tasks.done == len(j.tasks.states) {
 		return true
 	}
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -12,24 +12,33 @@
 
 // LoadChunk loads the value of the chunk with a number, which a new leader has read. It must be called
 // after ApplyRecord for the chunk's job, and in ascending order of keys. The error wraps ErrNoJob or
-// ErrMalformed. After an error the Store must not be used.
+// ErrMalformed.
+//
+// After ErrMalformed the job is unreadable: none of its tasks is started. Guards against tasks that run
+// twice, as those of the chunk would seem to wait (docs/incidents/unreadable-values.md).
 func (s *Store) LoadChunk(id string, number int, value []byte, revision uint64) error {
 	job := s.jobs[id]
 	if job == nil {
 		return fmt.Errorf("jobstore: load chunk %s/%d: %w", id, number, ErrNoJob)
 	}
-	stored, err := decodeChunkValue(value)
-	if err != nil {
-		return fmt.Errorf("jobstore: decode chunk %s/%d: %w", id, number, err)
-	}
-	tasks := job.addStoredChunk(number, revision)
-	job.gangDispatch = gangDispatchUnknown
-	if err := job.loadTasks(tasks, &stored); err != nil {
+	if err := job.loadChunk(number, value, revision); err != nil {
+		job.unreadable = true
 		return fmt.Errorf("jobstore: load chunk %s/%d: %w", id, number, err)
 	}
 	return nil
 }
 
+// loadChunk implements LoadChunk.
+func (j *Job) loadChunk(number int, value []byte, revision uint64) error {
+	stored, err := decodeChunkValue(value)
+	if err != nil {
+		return err
+	}
+	tasks := j.addStoredChunk(number, revision)
+	j.gangDispatch = gangDispatchUnknown
+	return j.loadTasks(tasks, &stored)
+}
+
 // addStoredChunk adds the chunk with a number as stored at a revision, and returns its tasks.
 func (j *Job) addStoredChunk(number int, revision uint64) taskRange {
 	if number < j.record.FirstChunk {
--- a/internal/jobstore/rechunk.go
+++ b/internal/jobstore/rechunk.go
@@ -65,7 +65,7 @@
 	if wasRechunked || j.record.ChunkSize <= TasksPerChunk(valueBytes) {
 		return false
 	}
-	if j.Cancelled || j.readyToEnd() {
+	if j.Cancelled || j.unreadable || j.readyToEnd() {
 		return false
 	}
 	return j.hasOversizedChunk(valueBytes)
--- a/internal/leader/attempts.go
+++ b/internal/leader/attempts.go
@@ -94,12 +94,12 @@
 
 // withdrawIncompleteGang stops the live attempts of a gang that is not complete: such attempts only hold
 // resources and wait, or end by themselves a little later. The gang starts anew once all of them are
-// proven gone. A cancelled gang, or one with a done task, is left as it is.
+// proven gone. A cancelled or unreadable gang, or one with a done task, is left as it is.
 //
 // Guards against gangs that nobody completes: a leader ends while it records or sends the starts of the
 // members, or a machine dies before the other members have begun.
 func (t *attemptTracker) withdrawIncompleteGang(j *jobstore.Job, now time.Time) {
-	if !j.IsGang() || j.Cancelled {
+	if !j.IsGang() || j.Cancelled || j.Unreadable() {
 		return
 	}
 	begun := j.LiveTasks() > 0 && j.DoneTasks() == 0
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -117,6 +117,7 @@
 // watch returns the changes after it. A record or chunk that cannot be loaded is logged and skipped.
 func (l *Leader) loadRecords(ctx context.Context) (revision uint64, err error) {
 	lastKey := ""
+	loader := recordLoader{leader: l}
 	for {
 		page, err := l.readPage(ctx, lastKey)
 		if err != nil {
@@ -126,7 +127,7 @@
 			revision = page.Revision
 		}
 		for _, item := range page.Items {
-			if err := l.loadRecord(item); err != nil {
+			if err := loader.loadItem(item); err != nil {
 				slog.Error("record skipped", "key", item.Key, "err", err)
 			}
 			lastKey = item.Key
@@ -155,25 +156,43 @@
 // errUnexpectedKey is returned for a key below jobstore.JobPrefix that jobstore.SplitKey cannot parse.
 var errUnexpectedKey = errors.New("leader: key is neither that of a job record nor that of a chunk")
 
-// loadRecord loads one record or chunk. A chunk without a record of its job is queued for deletion.
-func (l *Leader) loadRecord(item kvstore.Item) error {
+// errRecordUnreadable is returned for a chunk whose job's record cannot be decoded.
+var errRecordUnreadable = errors.New("leader: the record of the chunk's job is unreadable")
+
+// recordLoader loads records and chunks in the order of their keys, so that the record of a job comes before
+// its chunks.
+type recordLoader struct {
+	leader       *Leader
+	unreadableID string // job whose record could not be decoded last
+}
+
+// loadItem loads one record or chunk. A chunk without a record of its job is queued for deletion.
+//
+// Guards against the loss of a job's progress: the chunks of a record that cannot be decoded are kept.
+func (r *recordLoader) loadItem(item kvstore.Item) error {
 	jobID, chunk, ok := jobstore.SplitKey(item.Key)
-	if !ok {
+	switch {
+	case !ok:
 		return errUnexpectedKey
-	}
-	if chunk < 0 {
-		j, _, err := l.jobs.store.ApplyRecord(item.Value, item.Revision)
-		if err != nil {
-			return fmt.Errorf("leader: load job record: %w", err)
-		}
-		l.admitJob(j)
+	case chunk < 0:
+		return r.loadRecord(jobID, item)
+	case jobID == r.unreadableID:
+		return errRecordUnreadable
+	case r.leader.jobs.store.Job(jobID) == nil:
+		r.leader.writer.addGarbage(kvstore.Mutation{Delete: item.Key})
 		return nil
 	}
-	if l.jobs.store.Job(jobID) == nil {
-		l.writer.addGarbage(kvstore.Mutation{Delete: item.Key})
-		return nil
+	return r.leader.jobs.store.LoadChunk(jobID, chunk, item.Value, item.Revision)
+}
+
+func (r *recordLoader) loadRecord(jobID string, item kvstore.Item) error {
+	j, _, err := r.leader.jobs.store.ApplyRecord(item.Value, item.Revision)
+	if err != nil {
+		r.unreadableID = jobID
+		return fmt.Errorf("leader: load job record: %w", err)
 	}
-	return l.jobs.store.LoadChunk(jobID, chunk, item.Value, item.Revision)
+	r.leader.admitJob(j)
+	return nil
 }
 
 // admitJob adds a job to the leader's tables and to the forecast, and requests a scheduling pass. It
