api: Keep what was known of a chunk that becomes unreadable

What callers saw: polls show fewer tasks done and running than before, and controllers no longer know where cancelled tasks of the chunk run.

Cause: the replica took a chunk that cannot be decoded for one with the tasks decoded so far.

Evidence, before: TestUnreadableChunkKeepsCounts: state {Done:0 Running:0} and locations [] after an unreadable change, want {Done:3 Running:1} and one location as before.

Why this works: an error of decoding leaves the state of the chunk's tasks as last read; the error is logged as before.

--- a/internal/api/job_view.go
+++ b/internal/api/job_view.go
@@ -77,7 +77,8 @@
 	v.firstChunk = firstChunk
 }
 
-// applyChunk applies a change of one chunk's record.
+// applyChunk applies a change of one chunk's record. If the record cannot be decoded, the state of the tasks
+// stays as last read: an unreadable chunk is not an empty one, and its tasks may still run.
 func (v *jobView) applyChunk(id string, chunk int, event *kvstore.Event) {
 	if event.Revision <= v.chunks[chunk].revision {
 		return
@@ -89,6 +90,7 @@
 	done, live, err := jobstore.DecodeChunk(id, event.Value)
 	if err != nil {
 		slog.Error("chunk unreadable", "key", event.Put, "err", err)
+		done, live = v.chunks[chunk].done, v.chunks[chunk].live
 	}
 	v.chunks[chunk] = chunkView{revision: event.Revision, done: done, live: live}
 }
--- a/internal/api/poll_test.go
+++ b/internal/api/poll_test.go
@@ -115,3 +115,23 @@
 		}
 	})
 }
+
+// Guards against a job that seems to lose tasks, and against cancelled tasks that nobody looks for: a chunk
+// that cannot be decoded was taken for an empty one.
+func TestUnreadableChunkKeepsCounts(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		f.mustSubmit("wk-000001")
+		put := func(value any) {
+			f.write(kvstore.Mutation{Put: "job/wk-000001/000000", Value: wire.Marshal(value)})
+		}
+		put(map[string]any{"done": "0-2", "live": [][]any{{9, 1, "m-1", 1}}})
+		want := f.decodeState(f.poll("wk-000001"))
+		put(map[string]any{"done": "2-0", "live": [][]any{}})
+		if state := f.decodeState(f.poll("wk-000001")); state != want || state.Done != 3 {
+			t.Errorf("state %+v after an unreadable change, want %+v as before", state, want)
+		}
+		if locations := f.handler.Locations("wk-000001"); len(locations) != 1 {
+			t.Errorf("locations %+v after an unreadable change, want the one from before", locations)
+		}
+	})
+}
