leader: Log the key of a job record that cannot be decoded

What operators saw: "job record unreadable" from the leader's watch named no key, so that the value could not be found.

Nothing else changes.

--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -71,7 +71,7 @@
 		return
 	}
 	if _, chunk, ok := jobstore.SplitKey(change.Put); ok && chunk < 0 {
-		l.applyRecord(change.Value, change.Revision)
+		l.applyRecord(change.Put, change.Value, change.Revision)
 	}
 }
 
@@ -83,10 +83,10 @@
 
 // applyRecord applies a job's record that was read or watched: it admits a new job and stops the
 // attempts of a cancelled one. It logs a record that cannot be decoded, and ignores it.
-func (l *Leader) applyRecord(value []byte, revision uint64) {
+func (l *Leader) applyRecord(key string, value []byte, revision uint64) {
 	changed, isNews, err := l.jobs.store.ApplyRecord(value, revision)
 	if err != nil {
-		slog.Error("job record unreadable", "err", err)
+		slog.Error("job record unreadable", "key", key, "err", err)
 		return
 	}
 	if !isNews {
@@ -128,4 +128,4 @@
 // recordRead carries a job's record that was read outside the watch.
 type recordRead struct{ item kvstore.Item }
 
-func (e recordRead) apply(l *Leader) { l.applyRecord(e.item.Value, e.item.Revision) }
+func (e recordRead) apply(l *Leader) { l.applyRecord(e.item.Key, e.item.Value, e.item.Revision) }
--- a/internal/leader/writer.go
+++ b/internal/leader/writer.go
@@ -166,7 +166,7 @@
 	case chunk >= 0:
 		l.jobs.store.SetChunkRevision(jobID, chunk, e.item.Revision)
 	case e.exists:
-		l.applyRecord(e.item.Value, e.item.Revision)
+		l.applyRecord(e.key, e.item.Value, e.item.Revision)
 	default:
 		if j := l.jobs.store.RecordFoundDeleted(jobID); j != nil {
 			l.attempts.jobEnded(j)
