leader: Mark relayed starts as sent only when they are written

What callers saw: after a large zone was served through the relay, machines are returned as unresponsive, with all that runs on them, because they do not list attempts whose starts were never written.

Cause: starts were marked as sent when the commands were computed, before those that do not fit into a value or a transaction were left out.

--- a/internal/agent/assignment.go
+++ b/internal/agent/assignment.go
@@ -17,7 +17,7 @@
 	*jobstore.Attempt
 	AssignedAt       time.Time // when the attempt was placed, or a new leader read its record
 	RunningSince     time.Time // when it was first reported past pulling and waiting; zero: not yet
-	FirstSent        time.Time // when PendingCommands first returned the start; zero: never
+	FirstSent        time.Time // when the start was first sent (MarkStartSent); zero: never
 	Stopping         bool      // a halt was requested
 	GracePeriodS     float64   // grace period of the halt in seconds, the shortest requested
 	MissedHeartbeats int       // consecutive heartbeats that neither list it nor prove it gone
--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -5,6 +5,8 @@
 import (
 	"slices"
 	"time"
+
+	"tulipshelf/internal/job"
 )
 
 // PendingCommands returns the commands that the machine needs under the given fencing token, at most
@@ -16,8 +18,20 @@
 //
 // The commands contain pointers into the assignments: only the leader's event loop may encode them.
 func (m *Machine) PendingCommands(token uint64, limit int, settled func(task string) bool, now time.Time) []Command {
+	commands := m.UnsentCommands(token, limit, settled)
+	for i := range commands {
+		if commands[i].Verb == VerbRun {
+			m.MarkStartSent(job.AttemptID{Task: commands[i].Task, Number: commands[i].Attempt}, now)
+		}
+	}
+	return commands
+}
+
+// UnsentCommands is PendingCommands without the marks of starts as sent. It is for commands that may not be
+// sent after all: the caller then calls MarkStartSent for the starts that are.
+func (m *Machine) UnsentCommands(token uint64, limit int, settled func(task string) bool) []Command {
 	m.urgent = false
-	commands, complete := m.assignmentCommands(token, limit, now)
+	commands, complete := m.assignmentCommands(token, limit)
 	if !complete {
 		// The remaining commands should not wait for the next heartbeat.
 		m.urgent = true
@@ -28,7 +42,7 @@
 
 // assignmentCommands returns the starts and halts that assignments need, at most limit. It returns
 // complete as false if there are more.
-func (m *Machine) assignmentCommands(token uint64, limit int, now time.Time) (commands []Command, complete bool) {
+func (m *Machine) assignmentCommands(token uint64, limit int) (commands []Command, complete bool) {
 	for _, assignment := range m.assignmentsNeedingCommand(token) {
 		if len(commands) == limit {
 			return commands, false
@@ -38,13 +52,18 @@
 			continue
 		}
 		commands = append(commands, Command{Verb: VerbRun, Task: assignment.TaskName(), Attempt: assignment.Number})
-		if assignment.FirstSent.IsZero() {
-			assignment.FirstSent = now
-		}
 	}
 	return commands, true
 }
 
+// MarkStartSent records that the start of an assigned attempt is sent now, unless it was sent before. It
+// does nothing if the attempt is not assigned to the machine.
+func (m *Machine) MarkStartSent(id job.AttemptID, now time.Time) {
+	if assignment := m.Assignments[id]; assignment != nil && assignment.FirstSent.IsZero() {
+		assignment.FirstSent = now
+	}
+}
+
 // assignmentsNeedingCommand returns the assignments to be started or halted, in the order of
 // SortedAssignments.
 func (m *Machine) assignmentsNeedingCommand(token uint64) []*Assignment {
--- a/internal/leader/commands.go
+++ b/internal/leader/commands.go
@@ -26,10 +26,11 @@
 
 // forRelayedMachine returns the commands for a machine that only another controller reaches. Commands
 // to forget exited tasks are left out, as they can wait until the partition is over. With them the
-// commands for a large zone exceeded the size limits of the key-value store.
-func (c *commandSource) forRelayedMachine(machine *agent.Machine, now time.Time) []agent.Command {
+// commands for a large zone exceeded the size limits of the key-value store. Starts are not marked as sent:
+// the commands may still not fit.
+func (c *commandSource) forRelayedMachine(machine *agent.Machine) []agent.Command {
 	neverSettled := func(string) bool { return false }
-	return machine.PendingCommands(c.term.Number(), agent.MaxCommands, neverSettled, now)
+	return machine.UnsentCommands(c.term.Number(), agent.MaxCommands, neverSettled)
 }
 
 // resultsSettled reports whether the result of every exited task that a machine still reports is recorded,
--- a/internal/leader/relays.go
+++ b/internal/leader/relays.go
@@ -9,6 +9,7 @@
 
 	"tulipshelf/internal/agent"
 	"tulipshelf/internal/clock"
+	"tulipshelf/internal/job"
 	"tulipshelf/internal/kvstore"
 	"tulipshelf/internal/relay"
 	"tulipshelf/internal/wire"
@@ -197,7 +198,7 @@
 		anyRelayed = true
 		commands := relay.MachineCommands{
 			Incarnation: machine.Incarnation,
-			Commands:    relay.CompactCommands(g.heartbeats.commands.forRelayedMachine(machine, now)),
+			Commands:    relay.CompactCommands(g.heartbeats.commands.forRelayedMachine(machine)),
 			ResendFull:  state.resendFull[machine.Name],
 		}
 		if len(commands.Commands) > 0 || commands.ResendFull {
@@ -261,6 +262,7 @@
 			break
 		}
 		values[part] = value
+		g.markSent(&parts[part], time.Now())
 		mutations = append(mutations, kvstore.Mutation{Put: relay.DownKey(node, part), Value: value})
 	}
 	if len(mutations) == 0 {
@@ -274,6 +276,25 @@
 	})
 }
 
+// markSent marks the starts in a batch that is about to be written as sent.
+//
+// Guards against starts that count as sent although they were left out: their attempts could be ended only
+// by proof that they are gone, and machines that did not list them would count as unresponsive
+// (docs/incidents/relayed-starts-left-out.md).
+func (g *relayGateway) markSent(batch *relay.CommandBatch, now time.Time) {
+	for name, commands := range batch.Machines {
+		machine := g.machines.registry.Machine(name)
+		if machine == nil {
+			continue
+		}
+		for _, command := range commands.Commands {
+			if command.Verb == agent.VerbRun {
+				machine.MarkStartSent(job.AttemptID{Task: command.Task, Number: command.Attempt}, now)
+			}
+		}
+	}
+}
+
 // commandsRelayed reports the outcome of a write of commands.
 type commandsRelayed struct {
 	node   string
--- /dev/null
+++ b/internal/leader/relays_test.go
@@ -0,0 +1,53 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"tulipshelf/internal/config"
+	"tulipshelf/internal/relay"
+)
+
+// Guards against starts that count as sent although they were never written for the relay, because the
+// commands of other machines have filled the value: a machine that does not list such an attempt would
+// count as unresponsive and be returned.
+func TestStartsLeftOutOfRelayAreNotSent(t *testing.T) {
+	settings := healthSettings()
+	settings.Store = config.StoreLimits{ValueBytes: 2 << 10, TxnOps: 1}
+	l := newTestLeader(settings)
+	const machineCount = 100
+	j := l.admit(t, arrayRecord("wk-000001", machineCount))
+	now := time.Now()
+	for task, machine := range registerMachines(l, 0, machineCount, now) {
+		machine.RelayedBy, machine.Incarnation = "node-1", 1
+		attempt := l.jobs.store.StartAttempt(j, task, l.jobs.store.NextAttemptNumber(l.term.Number()), machine.Name, 1, now)
+		attempt.Recorded = true
+		machine.Assign(attempt, now)
+	}
+	state := &relayState{lastWritten: make([][]byte, 1), resendFull: map[string]bool{}}
+	batches := l.relays.commandParts("node-1", state, now)
+	if len(batches) != 1 || len(batches[0].Machines) == 0 || len(batches[0].Machines) == machineCount {
+		t.Fatalf("%d batches, want one with the commands of some of %d machines", len(batches), machineCount)
+	}
+	l.checkSentStarts(t, relay.CommandBatch{})
+	l.relays.markSent(&batches[0], now)
+	l.checkSentStarts(t, batches[0])
+}
+
+// checkSentStarts checks that just the starts for the machines in a batch count as sent.
+func (l *Leader) checkSentStarts(t *testing.T, written relay.CommandBatch) {
+	t.Helper()
+	wrong := 0
+	for index := range l.machines.registry.Size() {
+		machine := l.machines.registry.At(index)
+		_, want := written.Machines[machine.Name]
+		for _, assignment := range machine.SortedAssignments() {
+			if sent := !assignment.FirstSent.IsZero(); sent != want {
+				wrong++
+			}
+		}
+	}
+	if wrong > 0 {
+		t.Errorf("%d starts marked as sent though left out, or not marked though written", wrong)
+	}
+}
