controller: Make two cluster tests as strict as their names

TestDuplicateHeartbeatIsNoSignOfLife compared the size of the registry with the number of copies, which a returned machine that is registered again does not change. It now checks that no machine is present at the leader that has returned all. TestTerminationNoticeDrainsMachine let the task with checkpoints move within 40 s of a later time; it now also has to be gone from its machine within the 30 s of the notice.

--- a/internal/controller/heartbeat_test.go
+++ b/internal/controller/heartbeat_test.go
@@ -27,8 +27,8 @@
 			}
 		}
 		deliver()
-		if n := c.registeredMachines(c.leader()); n > len(copies) {
-			t.Errorf("%d machines registered, want at most the %d that were rented", n, len(copies))
+		if names := c.presentMachines(c.leader()); len(names) > 0 {
+			t.Errorf("machines %q present at the leader that has returned them", names)
 		}
 		c.failOver()
 		time.Sleep(time.Second)
--- a/internal/controller/leader_access_test.go
+++ b/internal/controller/leader_access_test.go
@@ -41,6 +41,15 @@
 	return count
 }
 
+// presentMachines returns the names of the machines that are not gone, according to the machine registry of
+// controller i, which must lead.
+func (c *cluster) presentMachines(i int) (names []string) {
+	c.processes[i].node.leader.Load().Inspect(func(machines *agent.Registry) {
+		machines.Each(func(machine *agent.Machine) { names = append(names, machine.Name) })
+	})
+	return names
+}
+
 // machinesWithImage returns the number of machines that have fetched an image, according to the machine
 // registry of controller i, which must lead.
 func (c *cluster) machinesWithImage(i int, image string) (count int) {
--- a/internal/controller/machine_failure_test.go
+++ b/internal/controller/machine_failure_test.go
@@ -33,8 +33,8 @@
 }
 
 // Machines with a termination notice are drained. A service moves first, within 20 s. A task with
-// checkpoints moves later, once it has saved its progress. A task without checkpoints runs on where it
-// is, as the fake does not terminate the machine when the 30 s of the notice are over.
+// checkpoints moves later, once it has saved its progress, but before the 30 s of the notice are over. A
+// task without checkpoints runs on where it is, as the fake does not terminate the machine then.
 func TestTerminationNoticeDrainsMachine(t *testing.T) {
 	simulate(t, func(c *cluster) {
 		c.waitForElection()
@@ -42,14 +42,19 @@
 		c.submit(0, newJob("wk-000002", job.Array, 1, 300).withCheckpoints())
 		c.submit(0, newJob("wk-000003", job.Array, 1, 40))
 		c.waitUntilRunning(3, time.Minute)
+		const notice = 30 * time.Second
 		noticedAt := time.Now()
-		for _, machine := range c.cloud.Machines() {
-			machine.AnnounceTermination(30 * time.Second)
+		noticed := c.cloud.Machines()
+		for _, machine := range noticed {
+			machine.AnnounceTermination(notice)
 		}
 		c.waitUntil("service moved", 25*time.Second, func() bool { return c.invariants.StartsByTask()["wk-000001/0"] == 2 })
 		if c.invariants.StartsByTask()["wk-000002/0"] != 1 || time.Since(noticedAt) > 20*time.Second {
 			t.Errorf("service moved %v after the notice, want at most 20s; starts of the task with checkpoints by that time: %d, want 1", time.Since(noticedAt), c.invariants.StartsByTask()["wk-000002/0"])
 		}
+		c.waitUntil("task with checkpoints saved and gone", notice-time.Since(noticedAt), func() bool {
+			return !slices.ContainsFunc(noticed, func(machine *fake.Agent) bool { return machine.HasTasksOf("wk-000002") })
+		})
 		c.waitUntil("task with checkpoints moved", 40*time.Second, func() bool { return c.invariants.StartsByTask()["wk-000002/0"] == 2 })
 		c.waitUntil("task without checkpoints done", time.Minute, func() bool { return c.invariants.Completed("wk-000003/0") })
 		if n := c.invariants.StartsByTask()["wk-000003/0"]; n != 1 {
