wire: Do not keep a connection on which a deadline is about to be set

What callers saw: now and then a request times out at once, because an earlier one on its connection did.

Cause: the goroutine that interrupts a request when its context ends may set its deadline in the past after the response has arrived and the next request on the same connection has begun.

Evidence, before: TestLateDeadlineHitsNoOtherRequest: "the connection is kept, although a deadline in the past is about to be set on it".

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -80,13 +80,22 @@
 }
 
 // exchange writes a request and reads its response. When ctx ends, a deadline in the past interrupts
-// both, so that the error wraps os.ErrDeadlineExceeded.
+// both, so that the error wraps os.ErrDeadlineExceeded. If ctx ends as the response arrives, Response.Close
+// is set. Guards against the failure of an unrelated request: the deadline may be set only after the next
+// request on the connection has begun.
 func (c *Client) exchange(ctx context.Context, conn *clientConn, request []byte) (Response, error) {
 	deadline, _ := ctx.Deadline() // zero if ctx has none, which sets no deadline
 	conn.SetDeadline(deadline)
 	past := time.Unix(1, 0)
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
-	defer stop()
+	resp, err := c.writeAndRead(conn, request)
+	if !stop() {
+		resp.Close = true
+	}
+	return resp, err
+}
+
+func (c *Client) writeAndRead(conn *clientConn, request []byte) (Response, error) {
 	if _, err := conn.Write(request); err != nil {
 		return Response{}, err
 	}
--- a/internal/wire/client_test.go
+++ b/internal/wire/client_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,3 +95,64 @@
 		t.Errorf("error %v, want one that wraps ErrNotSent and %q", err, refused)
 	}
 }
+
+// lateDeadlineConn is a connection on which a deadline in the past is set only once late is closed. It ends
+// the request's context when the response has been read.
+type lateDeadlineConn struct {
+	net.Conn
+	endContext context.CancelFunc
+	late       chan struct{}
+	interrupts sync.WaitGroup // calls that set a deadline in the past
+}
+
+func (c *lateDeadlineConn) Read(buf []byte) (int, error) {
+	n, err := c.Conn.Read(buf)
+	if n > 0 {
+		c.interrupts.Add(1)
+		c.endContext()
+	}
+	return n, err
+}
+
+func (c *lateDeadlineConn) SetDeadline(deadline time.Time) error {
+	if !deadline.IsZero() && deadline.Before(time.Now()) {
+		<-c.late
+		defer c.interrupts.Done()
+	}
+	return c.Conn.SetDeadline(deadline)
+}
+
+// TestLateDeadlineHitsNoOtherRequest guards against the failure of an unrelated request: the context of a
+// request ends as its response arrives, and the deadline that interrupts it is set only after the next
+// request on the connection has begun.
+func TestLateDeadlineHitsNoOtherRequest(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+	synctest.Test(t, func(t *testing.T) {
+		server := &scriptedServer{responses: []string{response, response}}
+		ctx, cancel := context.WithCancel(t.Context())
+		first := &lateDeadlineConn{endContext: cancel, late: make(chan struct{})}
+		client := &Client{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			conn, err := server.dial(ctx, addr)
+			if first.Conn == nil {
+				first.Conn = conn
+				return first, err
+			}
+			return conn, err
+		}}
+		defer client.CloseIdle()
+		if resp, err := client.Do(ctx, "GET", "/", nil); err != nil || string(resp.Body) != "hi" {
+			t.Fatalf("first request: body %q, error %v", resp.Body, err)
+		}
+		synctest.Wait() // the interruption waits for late
+		idle := client.takeIdle()
+		if idle != nil {
+			t.Error("the connection is kept, although a deadline in the past is about to be set on it")
+			client.keep(idle)
+		}
+		close(first.late)
+		first.interrupts.Wait()
+		if _, err := get(client); err != nil {
+			t.Errorf("second request: %v", err)
+		}
+	})
+}
