leader: Double the backoff of a failing gang once for each start

What callers saw: a failing gang of five starts again after 32 s, then only each minute, instead of after 2 s, 4 s, 8 s.

Cause: attemptStarted was called for every member.

Evidence, before: TestBackoffOfGangDoublesOncePerStart: "next start after 32s, then after 1m0s; want 2s, then 4s".

Why this works: the members share an attempt number, and the delay grows when it is taken.

--- a/internal/leader/scheduler.go
+++ b/internal/leader/scheduler.go
@@ -117,6 +117,7 @@
 		nextTask[assigned.Job] = task + 1
 		if attemptNumbers[assigned.Job] == 0 || !j.IsGang() {
 			attemptNumbers[assigned.Job] = s.jobs.store.NextAttemptNumber(s.term.Number())
+			s.jobs.states[j].attemptStarted(now) // once for all members of a gang
 		}
 		s.start(j, task, attemptNumbers[assigned.Job], machine, now)
 	}
@@ -126,7 +127,6 @@
 	attempt := s.jobs.store.StartAttempt(j, task, number, machine.Name, machine.Incarnation, now)
 	machine.Assign(attempt, now)
 	machine.Images.Use(j.Spec.Image, j.Spec.ImageGB, s.topology.types[machine.Type].Disk, now)
-	s.jobs.states[j].attemptStarted(now)
 	slog.Debug("attempt placed", "task", attempt.TaskName(), "attempt", number, "machine", machine.Name)
 }
 
--- a/internal/leader/scheduler_test.go
+++ b/internal/leader/scheduler_test.go
@@ -87,3 +87,26 @@
 		}
 	}
 }
+
+// Guards against a failing gang that waits for a minute after its first restart: the delay before the next
+// start is doubled once for a start of the gang, not once for each of its members.
+func TestBackoffOfGangDoublesOncePerStart(t *testing.T) {
+	l := newTestLeader(healthSettings())
+	record := arrayRecord("wk-000001", 5)
+	record.Spec.Shape = job.Gang
+	gang := l.admit(t, record)
+	now := time.Now()
+	state := l.jobs.states[gang]
+	state.failedAttempts, state.backoff = minFailedAttempts, minFailingBackoff
+	var assignments []placement.Assignment
+	for _, machine := range registerMachines(l, 0, 5, now) {
+		assignments = append(assignments, placement.Assignment{Job: 0, Machine: machine.Index})
+	}
+	l.scheduler.startAssigned(assignments, []*jobstore.Job{gang}, now)
+	if gang.LiveTasks() != 5 {
+		t.Fatalf("%d members started, want 5", gang.LiveTasks())
+	}
+	if delay := state.notBefore.Sub(now); delay != minFailingBackoff || state.backoff != 2*minFailingBackoff {
+		t.Errorf("next start after %v, then after %v; want %v, then %v", delay, state.backoff, minFailingBackoff, 2*minFailingBackoff)
+	}
+}
