leader: Bound the number of anticipated gangs that need next to nothing

What callers saw: the leader ends for memory after a gang of tiny tasks whose class has to start at once, if other gangs bring load.

Cause: the number of anticipated gangs is the expected load divided by the CPUs of one of them, without a bound.

Evidence, before: TestReservationsForTinyGangsAreBounded: "555556 anticipated gangs, want between 1 and one for each of the expected 167 CPUs".

Why this works: an anticipated gang counts for at least the 1 CPU below which no gang is anticipated at all, so their number is at most that of the expected CPUs. For gangs of one CPU or more nothing changes.

--- a/internal/leader/reservations.go
+++ b/internal/leader/reservations.go
@@ -23,16 +23,21 @@
 	forecast *forecast
 }
 
+// minReservedCPUs is the number of CPUs that an anticipated gang counts for at least. Guards against
+// controllers that end for memory: for a gang that needs next to nothing, a load of some CPUs would be
+// expected to consist of millions of such gangs (docs/incidents/tiny-gangs.md).
+const minReservedCPUs = 1
+
 // gangs returns the anticipated gangs for which machines are kept free. Each is a copy of the largest
 // gang of its class that has arrived. Each class of urgentGangs gets one. More are added, one class
 // after the other, until the CPUs of the anticipated and of the unfinished gangs together reach the load
-// that the forecast expects from gangs. There are none while that load is below 1 CPU.
+// that the forecast expects from gangs. There are none while that load is below minReservedCPUs.
 func (r *reservations) gangs(now time.Time) (reserved []gangTemplate) {
 	if r.forecast.gangs.Empty() {
 		return nil
 	}
 	spareCPUs := r.forecast.gangs.Rate(now)
-	if spareCPUs < 1 {
+	if spareCPUs < minReservedCPUs {
 		return nil
 	}
 	spareCPUs -= r.gangCPUs()
@@ -43,7 +48,7 @@
 				break
 			}
 			reserved = append(reserved, gang)
-			spareCPUs -= gang.cpus()
+			spareCPUs -= math.Max(minReservedCPUs, gang.cpus())
 		}
 	}
 	return reserved
