leader: Rent no machines for a part of a gang over its GPU limit

What callers saw: machines are rented and stay empty while a gang waits for its team's limit of GPUs.

Cause: the GPU limit was not checked for the gang as a whole.

Evidence, before: TestGangOverLimitIsNotSizedInPart/over_the_GPU_limit: "demand for 7 of 8 tasks, want 0".

Why this works: a gang is left out unless all of its tasks fit into both limits.

--- a/internal/leader/sizer.go
+++ b/internal/leader/sizer.go
@@ -125,8 +125,7 @@
 func (d *demandList) add(waiting *jobstore.Job, tasks int) int {
 	state := d.jobs.states[waiting]
 	team := &d.teams[state.team]
-	tasks = tasksFitting(tasks, team.CPUsMax-team.CPUsUsed, waiting.Spec.CPUs)
-	tasks = tasksFitting(tasks, team.GPUsMax-team.GPUsUsed, waiting.Spec.GPUs)
+	tasks = tasksWithinLimit(tasks, team, waiting.Spec)
 	if tasks == 0 {
 		return 0
 	}
@@ -138,20 +137,25 @@
 }
 
 // addAllOrNothing adds a service as far as its team's limit allows, or a gang. A gang is left out while
-// any of its tasks is live, and if its team's CPU limit has no headroom for all of them. The GPU limit
-// is not checked for a whole gang: add adds the tasks that fit into it.
+// any of its tasks is live, and if its team's limit has no headroom for all of them.
 func (d *demandList) addAllOrNothing(j *jobstore.Job) {
 	team := &d.teams[d.jobs.states[j].team]
 	switch {
 	case j.IsGang() && j.LiveTasks() > 0:
 		// The gang restarts on the machines that it leaves, or is added whole once no task is live.
-	case j.IsGang() && tasksFitting(j.Spec.Tasks, team.CPUsMax-team.CPUsUsed, j.Spec.CPUs) < j.Spec.Tasks:
+	case j.IsGang() && tasksWithinLimit(j.Spec.Tasks, team, j.Spec) < j.Spec.Tasks:
 		// A gang does not start in part, so machines for a part of it would be of no use.
 	default:
 		d.add(j, d.jobs.tasksToStart(j))
 	}
 }
 
+// tasksWithinLimit returns how many of a number of tasks fit into the limit of their team.
+func tasksWithinLimit(tasks int, team *placement.Team, spec *job.Spec) int {
+	tasks = tasksFitting(tasks, team.CPUsMax-team.CPUsUsed, spec.CPUs)
+	return tasksFitting(tasks, team.GPUsMax-team.GPUsUsed, spec.GPUs)
+}
+
 // tasksFitting returns how many of a number of tasks fit into the headroom, which may be infinite. All
 // of them do if they need nothing of the resource.
 func tasksFitting(tasks int, headroom, perTask float64) int {
