leader: Take the failures of a mistaken job from its machines completely

What callers saw: after a job that fails on every machine, one failure of another job quarantines a healthy machine, which is returned with all that runs on it.

Cause: the machine's count of failed attempts kept the failures that were attributed to the job after all.

Why this works: failures are counted by job, so removing the job removes them.

--- a/internal/agent/machine.go
+++ b/internal/agent/machine.go
@@ -48,15 +48,14 @@
 	// Decisions and observations of the leader, set by the caller and by the methods in assignment.go.
 	// ApplyHeartbeat also removes assignments that have ended.
 
-	Assignments    map[job.AttemptID]*Assignment
-	Version        uint64 // incremented when assignments, their halts or HasUnknownTask change
-	Images         ImageCache
-	IdleSince      time.Time           // when the caller last saw an assignment on it; initially Created
-	FailedAttempts int                 // failures attributed to the machine since the last success on it
-	FailedJobs     map[string]struct{} // IDs of the jobs with such failures
-	Quarantined    bool                // excluded from placement
-	RetireReason   RetireReason        // reason for its return; NotRetired: it is not to be returned
-	Gone           bool                // returned to the cloud; no attempt runs on it any longer
+	Assignments  map[job.AttemptID]*Assignment
+	Version      uint64 // incremented when assignments, their halts or HasUnknownTask change
+	Images       ImageCache
+	IdleSince    time.Time      // when the caller last saw an assignment on it; initially Created
+	FailedJobs   map[string]int // failures attributed to the machine since the last success on it, by job ID
+	Quarantined  bool           // excluded from placement
+	RetireReason RetireReason   // reason for its return; NotRetired: it is not to be returned
+	Gone         bool           // returned to the cloud; no attempt runs on it any longer
 
 	// Delivery of commands, set by the caller and by the methods in responsiveness.go and commands.go.
 	// Stop also sets urgent. The flag urgent is adjacent to Gone in memory because the leader reads both
@@ -73,6 +72,15 @@
 	responses responseHistory
 }
 
+// FailedAttempts returns the number of failures attributed to the machine since the last success on it.
+func (m *Machine) FailedAttempts() int {
+	failures := 0
+	for _, ofJob := range m.FailedJobs {
+		failures += ofJob
+	}
+	return failures
+}
+
 // HasUnknownTask reports whether the newest heartbeat lists a live attempt that is not assigned to the
 // machine. Such an attempt uses resources that no assignment accounts for.
 func (m *Machine) HasUnknownTask() bool { return m.hasUnknownTask }
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -72,7 +72,7 @@
 		IdleSince:   now,
 		Reported:    map[job.AttemptID]TaskState{},
 		Assignments: map[job.AttemptID]*Assignment{},
-		FailedJobs:  map[string]struct{}{},
+		FailedJobs:  map[string]int{},
 	}
 	r.byName[name] = machine
 	if machine.Index == len(r.byIndex) {
--- a/internal/leader/attempts.go
+++ b/internal/leader/attempts.go
@@ -205,7 +205,6 @@
 		t.forecast.runtimes.Add(spec.Class, spec.ExpectS, now.Sub(assignment.RunningSince).Seconds())
 	}
 	machine.Images.Fetched(spec.Image)
-	machine.FailedAttempts = 0
 	clear(machine.FailedJobs)
 	state.attemptDone()
 }
@@ -217,13 +216,12 @@
 		t.clearJobFailures(j)
 		return
 	}
-	machine.FailedAttempts++
-	machine.FailedJobs[j.Spec.ID] = struct{}{}
+	machine.FailedJobs[j.Spec.ID]++
 	severalJobs := len(machine.FailedJobs) >= quarantineAfterJobs
-	succeedsElsewhere := j.DoneTasks() > 0 && machine.FailedAttempts >= quarantineAfterAttempts
+	succeedsElsewhere := j.DoneTasks() > 0 && machine.FailedAttempts() >= quarantineAfterAttempts
 	if (severalJobs || succeedsElsewhere) && !machine.Quarantined {
 		machine.Quarantined = true
-		slog.Info("machine quarantined", "machine", machine.Name, "errors", machine.FailedAttempts)
+		slog.Info("machine quarantined", "machine", machine.Name, "errors", machine.FailedAttempts())
 	}
 }
 
