leader: Count a probe answered by another machine as failed

What callers saw: tasks of a dead machine whose address another machine has taken over start elsewhere later than they could.

Cause: the mark of a failed probe was cleared by any answer.

Evidence, before: TestProbeAnsweredByOtherMachineFails/another_machine: "ProbeFailed is false, want true".

Why this works: an answer that names another machine proves that this one is not at its address.

--- a/internal/leader/dispatcher.go
+++ b/internal/leader/dispatcher.go
@@ -167,9 +167,10 @@
 	err     error
 }
 
+// apply counts an answer of another machine, which has taken over the address, as a failed probe.
 func (e probeAnswered) apply(l *Leader) {
 	l.dispatcher.probesInFlight--
-	e.machine.ProbeFailed = e.err != nil
+	e.machine.ProbeFailed = e.err != nil || e.status.Machine != e.machine.Name
 	l.handleDirectAnswer(e.machine, &e.status, e.err)
 }
 
