leader: Count unfinished gangs once after an election

What callers saw: where no array has arrived, a new leader expects twice the load of gangs and keeps machines free for it.

Cause: one time, that of the history of arrays, said up to when both stored histories contain the arrivals.

Evidence, with that time for both: TestRestoredGangsAreCountedOnce: "expected load of gangs 10.67 CPUs in the next leader, want 5.33 as in its predecessor".

Why this works: the history of gangs has its own time.

--- a/internal/leader/forecast.go
+++ b/internal/leader/forecast.go
@@ -31,10 +31,12 @@
 	arrays   autoscaler.DemandHistory    // CPU seconds of arrays
 	gangs    autoscaler.DemandHistory    // CPU seconds of gangs
 
-	// restoredUntil is the time up to which the restored estimates of an earlier leader include
-	// arrivals: jobs submitted until then are not counted again. Zero: none were restored.
-	restoredUntil time.Time
-	savedAt       time.Time // when saving was last due; zero: never
+	// Times up to which the restored histories of an earlier leader include arrivals: jobs submitted until
+	// then are not counted again. Zero: none were restored.
+	arraysRestoredUntil time.Time
+	gangsRestoredUntil  time.Time
+
+	savedAt time.Time // when saving was last due; zero: never
 
 	lastArray    *jobState               // last array that arrived, the model for the reserve; nil: none
 	largestGangs map[string]gangTemplate // largest gang that arrived, by class
@@ -90,7 +92,7 @@
 
 func (f *forecast) gangArrived(j *jobstore.Job, state *jobState) {
 	gang := gangTemplate{j.Spec, state}
-	if j.SubmittedAt.After(f.restoredUntil) {
+	if j.SubmittedAt.After(f.gangsRestoredUntil) {
 		f.gangs.Add(gang.cpus()*(f.runSeconds(j.Spec)+f.topology.fetchSeconds(j.Spec.ImageGB)), j.SubmittedAt)
 	}
 	if largest := f.largestGangs[j.Spec.Class]; largest.spec == nil || largest.spec.Tasks <= j.Spec.Tasks {
@@ -99,7 +101,7 @@
 }
 
 func (f *forecast) arrayArrived(j *jobstore.Job, state *jobState) {
-	if j.SubmittedAt.After(f.restoredUntil) {
+	if j.SubmittedAt.After(f.arraysRestoredUntil) {
 		f.arrays.Add(float64(j.Spec.Tasks)*sizingCPUs(state.need)*f.runSeconds(j.Spec), j.SubmittedAt)
 	}
 	f.lastArray = state
@@ -173,11 +175,17 @@
 		slog.Error("stored estimates unreadable; continuing without them", "err", err)
 		return
 	}
+	f.restoreEstimates(&stored)
+}
+
+// restoreEstimates replaces the estimates by those that an earlier leader has stored.
+func (f *forecast) restoreEstimates(stored *storedEstimates) {
 	stored.Estimates.Restore(&f.arrays, &f.runtimes)
+	f.arraysRestoredUntil = time.UnixMilli(stored.Estimates.DecayedAtMS)
 	if stored.Gangs.LastArrivalMS > 0 {
 		stored.Gangs.Restore(&f.gangs, &autoscaler.RuntimeEstimator{})
+		f.gangsRestoredUntil = time.UnixMilli(stored.Gangs.DecayedAtMS)
 	}
-	f.restoredUntil = time.UnixMilli(stored.Estimates.DecayedAtMS)
 	for _, id := range stored.Failing {
 		f.jobs.failingIDs[id] = true
 	}
