leader: Keep no reserve for services of unknown teams

What callers saw: machines stay rented for services whose team is no longer in the settings and that are never placed.

Cause: the reserve did not check the team, as every other part of the demand does.

Evidence, before: TestServicesOfUnknownTeamsNeedNoReserve: `reserve for services of team "gone": true, want false`.

Why this works: such services are left out of the sum and of the choice of the largest.

--- a/internal/leader/sizer.go
+++ b/internal/leader/sizer.go
@@ -273,12 +273,12 @@
 // serviceReserve returns the reserve for anticipated services, which miss their objective unless they
 // start at once. The reserve is Operator.Reserve times the CPUs of all unfinished services, in tasks
 // like those of the service with the most CPUs per task, rounded up. It is nil if no unfinished service
-// needs CPUs.
+// needs CPUs. Services of unknown teams, which are never placed, do not count.
 func (s *sizer) serviceReserve() []autoscaler.Demand {
 	var cpus float64
 	var largest *jobstore.Job
 	s.jobs.store.Each(func(service *jobstore.Job) {
-		if service.Spec.Shape != job.Service || service.Cancelled {
+		if service.Spec.Shape != job.Service || service.Cancelled || !s.jobs.hasTeam(service) {
 			return
 		}
 		cpus += float64(service.Spec.Tasks) * service.Spec.CPUs
--- a/internal/leader/sizer_test.go
+++ b/internal/leader/sizer_test.go
@@ -34,3 +34,17 @@
 		})
 	}
 }
+
+// Guards against machines that are rented for services that are never placed: their team is no longer in
+// the settings.
+func TestServicesOfUnknownTeamsNeedNoReserve(t *testing.T) {
+	for team, want := range map[string]bool{"crew": true, "gone": false} {
+		l := newTestLeader(healthSettings())
+		record := arrayRecord("wk-000001", 8)
+		record.Spec.Shape, record.Spec.Team = job.Service, team
+		l.admit(t, record)
+		if got := len(l.sizer.serviceReserve()) > 0; got != want {
+			t.Errorf("reserve for services of team %q: %t, want %t", team, got, want)
+		}
+	}
+}
