kvstore: Count lease requests that are larger than the bucket

Cause: the limiter takes nothing if a request exceeds its burst.

Evidence, before: TestLargeLeaseRequestIsCounted: "2 mutations available 1.9 s after 6 mutations at 2 a second, want 0".

Why this works: the tokens are taken in parts of at most the burst; lease requests are still never refused.

--- a/internal/kvstore/budget.go
+++ b/internal/kvstore/budget.go
@@ -50,12 +50,22 @@
 func (b rateBudget) take(n int, priority Priority) bool {
 	now := time.Now()
 	if priority == PriorityLease {
-		b.limiter.ReserveN(now, n)
+		b.overdraw(n, now)
 		return true
 	}
 	return b.allows(n, priority) && b.limiter.AllowN(now, n)
 }
 
+// overdraw takes n tokens, however few are available. The limiter takes nothing at all if more are
+// requested at once than the bucket holds.
+func (b rateBudget) overdraw(n int, now time.Time) {
+	for n > 0 {
+		part := min(n, b.limiter.Burst())
+		b.limiter.ReserveN(now, part)
+		n -= part
+	}
+}
+
 // allows reports whether the priority may take n tokens now. It is always true for PriorityLease.
 func (b rateBudget) allows(n int, priority Priority) bool {
 	return priority == PriorityLease || n <= b.available(priority)
--- a/internal/kvstore/budget_test.go
+++ b/internal/kvstore/budget_test.go
@@ -140,6 +140,22 @@
 	})
 }
 
+// Guards against a rate of mutations that is exceeded for long: a lease request with more mutations than
+// the bucket holds counts with all of them.
+func TestLargeLeaseRequestIsCounted(t *testing.T) {
+	simulate(t, func(s *storeTest) {
+		s.client.SetRates(10, 2)
+		time.Sleep(2 * time.Second) // refills the buckets
+		if !s.write(6, kvstore.PriorityLease) {
+			t.Fatal("lease request refused")
+		}
+		time.Sleep(1900 * time.Millisecond)
+		if got := s.client.WriteBudget(kvstore.PriorityUser); got != 0 {
+			t.Errorf("%d mutations available 1.9 s after 6 mutations at 2 a second, want 0", got)
+		}
+	})
+}
+
 func TestSetRates(t *testing.T) {
 	simulate(t, func(s *storeTest) {
 		s.client.SetRates(100, 20)
