leadership: Renew on new connections when an answer is late

Why this works: after a third of the lease without an answer the idle connections are closed, so the next renewal opens a new one and is answered in time. The late answer itself still counts.

--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -68,6 +68,9 @@
 	return time.Since(time.Unix(0, c.lastServed.Load())) < within
 }
 
+// CloseIdle closes the connections that no request uses, so that the next requests open new ones.
+func (c *Client) CloseIdle() { c.http.CloseIdle() }
+
 // request is one request to the store.
 type request struct {
 	method string
--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -17,6 +17,10 @@
 // It is also the maximum number of renewals in flight, as each may take as long as the TTL.
 const renewIntervalDivisor = 4
 
+// lateRenewalDivisor determines when the answer to a renewal is late: after the lease's TTL divided by it.
+// A renewal sent then on a new connection is answered before the lease expires.
+const lateRenewalDivisor = 3
+
 // clockDriftMargin is the fraction of a lease's TTL by which a leader treats the lease as shorter.
 // It is twice the bound on the drift of a monotonic clock, as this node's clock may be slow and
 // the store's fast.
@@ -100,9 +104,14 @@
 
 // renew sends one renewal and waits for its answer, at most for the TTL. The error is that of
 // kvstore.Client.Extend: kvstore.ErrNotFound means that the lease has expired or was revoked.
+//
+// If the answer is late, the next renewals use new connections. Guards against a leadership that is lost
+// because the open connections no longer carry anything, while new ones do.
 func (c *Candidate) renew(ctx context.Context, term *Term) error {
 	ctx, cancel := context.WithTimeout(ctx, c.LeaseTTL)
 	defer cancel()
+	late := time.AfterFunc(c.LeaseTTL/lateRenewalDivisor, c.Store.CloseIdle)
+	defer late.Stop()
 	sent := time.Now()
 	if err := c.Store.Extend(ctx, term.lease); err != nil {
 		return err
--- a/internal/leadership/renew_test.go
+++ b/internal/leadership/renew_test.go
@@ -1,10 +1,14 @@
 package leadership
 
 import (
+	"context"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"tulipshelf/internal/fake"
+	"tulipshelf/internal/kvstore"
 )
 
 // Guards against controllers that rely on a leader where there is none: a node that has transferred its
@@ -53,3 +57,42 @@
 		}
 	})
 }
+
+// lossyConn is a connection that loses everything that is written to it while lossy is set.
+type lossyConn struct {
+	net.Conn
+	lossy *atomic.Bool
+}
+
+func (c lossyConn) Write(data []byte) (int, error) {
+	if c.lossy.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// Guards against a leadership that is lost because the open connections to the store no longer carry
+// anything, as after a change of a route, while new ones do.
+func TestRenewalsUseNewConnectionsAfterLoss(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		var lossy atomic.Pointer[atomic.Bool] // of the connections that are opened now
+		lossy.Store(&atomic.Bool{})
+		dial := func(ctx context.Context, addr string) (net.Conn, error) {
+			conn, err := c.network.Dial("a")(ctx, addr)
+			return lossyConn{conn, lossy.Load()}, err
+		}
+		a := c.start("a", func(candidate *Candidate) { candidate.Store = kvstore.New(dial, storeAddr, 1000, 1000) })
+		term := c.awaitElected(a, time.Second)
+		c.start("b")
+		for range 10 { // other requests of the leader leave several open connections
+			go a.Store.List(c.ctx, "test/", "", 1, kvstore.PriorityLease)
+		}
+		time.Sleep(leaseTTL)
+		before := lossy.Swap(&atomic.Bool{})
+		before.Store(true)
+		time.Sleep(5 * leaseTTL)
+		if a.leading.Load() != term || !term.Valid() {
+			t.Errorf("leading %t, valid %t after the open connections were lost; want true, true", a.leading.Load() == term, term.Valid())
+		}
+	})
+}
