leader: Let the shortest objective on guarantees count

What callers saw: with several objectives on guarantees, work within a guarantee waits by the last of them, or has tasks of other teams stopped at once if that has no time.

Cause: each objective overwrote the time of the one before.

Evidence, before: TestShortestGuaranteeObjectiveCounts: shortest first: "may preempt after 5s: false, want true"; without a time: "may preempt after 4.999s: true, want false".

Why this works: the shortest positive time counts, whatever the order.

--- a/internal/leader/scheduler_jobs.go
+++ b/internal/leader/scheduler_jobs.go
@@ -124,12 +124,26 @@
 // of opportunistic teams can end without being preempted.
 func (s *scheduler) mayPreemptOpportunistic(j *jobstore.Job, now time.Time) bool {
 	minWait := s.Operator.UnhealthyAfter
+	if within := s.guaranteeObjective(); within > 0 {
+		minWait = within / 2
+	}
+	return now.Sub(j.SubmittedAt) >= minWait && !s.jobs.opportunistic(j)
+}
+
+// guaranteeObjective returns the shortest time in which work within a guarantee should start; 0: none is
+// set.
+func (s *scheduler) guaranteeObjective() time.Duration {
+	var shortest time.Duration
 	for i := range s.Settings.Objectives {
-		if objective := &s.Settings.Objectives[i]; objective.Kind == config.KindGuarantee {
-			minWait = objective.Within / 2
+		objective := &s.Settings.Objectives[i]
+		if objective.Kind != config.KindGuarantee || objective.Within <= 0 {
+			continue
+		}
+		if shortest == 0 || objective.Within < shortest {
+			shortest = objective.Within
 		}
 	}
-	return now.Sub(j.SubmittedAt) >= minWait && !s.jobs.opportunistic(j)
+	return shortest
 }
 
 // priority returns a waiting job's priority: the lowest for opportunistic teams, whatever their jobs
--- a/internal/leader/scheduler_test.go
+++ b/internal/leader/scheduler_test.go
@@ -110,3 +110,32 @@
 		t.Errorf("next start after %v, then after %v; want %v, then %v", delay, state.backoff, minFailingBackoff, 2*minFailingBackoff)
 	}
 }
+
+// Guards against work within a guarantee that waits too long for tasks of opportunistic teams, or preempts
+// them at once: of several objectives on guarantees the shortest counts, whatever their order.
+func TestShortestGuaranteeObjectiveCounts(t *testing.T) {
+	guarantee := func(within time.Duration) config.Objective {
+		return config.Objective{Kind: config.KindGuarantee, Within: within}
+	}
+	for name, test := range map[string]struct {
+		objectives []config.Objective
+		minWait    time.Duration
+	}{
+		"shortest first": {[]config.Objective{guarantee(10 * time.Second), guarantee(time.Minute)}, 5 * time.Second},
+		"shortest last":  {[]config.Objective{guarantee(time.Minute), guarantee(10 * time.Second)}, 5 * time.Second},
+		"without a time": {[]config.Objective{guarantee(10 * time.Second), guarantee(0)}, 5 * time.Second},
+		"none":           {nil, config.DefaultOperator().UnhealthyAfter},
+	} {
+		t.Run(name, func(t *testing.T) {
+			settings := healthSettings()
+			settings.Objectives = test.objectives
+			l := newTestLeader(settings)
+			j := l.admit(t, arrayRecord("wk-000001", 1))
+			for wait, want := range map[time.Duration]bool{test.minWait - time.Millisecond: false, test.minWait: true} {
+				if got := l.scheduler.mayPreemptOpportunistic(j, j.SubmittedAt.Add(wait)); got != want {
+					t.Errorf("may preempt after %v: %t, want %t", wait, got, want)
+				}
+			}
+		})
+	}
+}
