placement: Count the loss of a gang once for a machine

What callers saw: preemption stops tasks that lose more, because a gang with several members on a machine seems to cost a multiple of what it loses.

Cause: the loss of the whole gang was added for each member among the victims.

Why this works: tasks name their gang, and only the first member among the victims on a machine counts.

--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -114,11 +114,19 @@
 		state.tasks = append(state.tasks, placement.Task{
 			ID: i, Need: jobState.need, Priority: assignment.Job.Spec.Rank(), Team: jobState.team,
 			StartedAt: assignment.AssignedAt, EndsAt: t.expectedEnd(assignment), Stopping: assignment.Stopping,
-			MembersElsewhere: gangMembersElsewhere(assignment),
+			Gang: gangID(assignment), MembersElsewhere: gangMembersElsewhere(assignment),
 		})
 	}
 }
 
+// gangID returns a number that identifies the gang of an assigned task, or 0 if it is not in a gang.
+func gangID(assignment *agent.Assignment) uint64 {
+	if assignment.Job.IsGang() {
+		return assignment.Job.Arrival
+	}
+	return 0
+}
+
 // gangMembersElsewhere returns the number of other members of an assigned task's gang, which lose the
 // same progress if the task is stopped. It is 0 for a task that is not in a gang.
 func gangMembersElsewhere(assignment *agent.Assignment) int {
--- a/internal/placement/machine.go
+++ b/internal/placement/machine.go
@@ -24,6 +24,7 @@
 	Priority         int
 	Team             int // position in the list of teams; negative: unknown, and the task is never preempted
 	StartedAt        time.Time
+	Gang             uint64    // set by the caller, the same for all members of a gang; 0: not in a gang
 	MembersElsewhere int       // number of other members of its gang, which stop with it and lose as much
 	EndsAt           time.Time // expected end; zero: does not end by itself
 	Stopping         bool      // was told to stop and may still run
--- a/internal/placement/preemption_test.go
+++ b/internal/placement/preemption_test.go
@@ -162,3 +162,19 @@
 		t.Errorf("tasks stopped by job %v, want 1 for the first job and 2 for the third", stopped)
 	}
 }
+
+// TestGangOnOneMachineIsLostOnce guards against preemption that loses more than it needs to: the loss of a
+// gang with several members on a machine was counted once for each of them, so that it seemed to cost more
+// than other victims that lose more.
+func TestGangOnOneMachineIsLostOnce(t *testing.T) {
+	member := func(id int, gang uint64) Task {
+		return Task{ID: id, Need: Amounts{CPU: 1}, Team: other, StartedAt: traceStart.Add(-time.Second), Gang: gang, MembersElsewhere: 3}
+	}
+	urgent := Job{Team: own, Priority: 2, Urgent: true}
+	for _, test := range []victimsTest{
+		{"two members of a gang", urgent, 2, 0, []Task{member(0, 7), member(1, 7)}, []int{0, 1}, 4, optionPossible},
+		{"members of two gangs", urgent, 2, 0, []Task{member(0, 7), member(1, 8)}, []int{0, 1}, 8, optionPossible},
+	} {
+		t.Run(test.name, test.run)
+	}
+}
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -54,10 +54,10 @@
 			break
 		}
 		victim := &machine.Tasks[taskIndex]
-		option.victims = append(option.victims, taskIndex)
-		if !victim.Stopping {
+		if !victim.Stopping && !machine.hasMemberOf(victim.Gang, option.victims) {
 			option.lostSeconds += p.now.Sub(victim.StartedAt).Seconds() * float64(1+victim.MembersElsewhere)
 		}
+		option.victims = append(option.victims, taskIndex)
 		free = free.Add(victim.Need, 1)
 		excess = excess.Add(victim.Need, -1)
 	}
@@ -67,6 +67,12 @@
 	return option
 }
 
+// hasMemberOf reports whether one of the tasks at the given positions is a member of a gang, whose loss then
+// includes that of all members. It is false for gang 0.
+func (m *Machine) hasMemberOf(gang uint64, tasks []int) bool {
+	return gang != 0 && slices.ContainsFunc(tasks, func(taskIndex int) bool { return m.Tasks[taskIndex].Gang == gang })
+}
+
 // enoughFreed reports whether free resources cover the need of a task and its team does not exceed its
 // limit.
 func enoughFreed(free, need, excess Amounts) bool {
