leader: Log a preemption only if it takes place

What operators saw: "task preempted" for members of a gang that is not halted, again in each pass.

Cause: the line was written before checkpointGang, which declines while a machine of the gang cannot be reached.

Evidence, before: TestOnlyHaltedGangIsLoggedAsPreempted: "all machines reachable false: 1 lines on a preemption, want 0".

Why this works: checkpointGang reports whether it halted the gang, and the line follows it.

--- a/internal/leader/attempts.go
+++ b/internal/leader/attempts.go
@@ -110,8 +110,9 @@
 
 // checkpointGang halts all members of a gang, with a grace period in which they save a checkpoint. If a
 // machine of the gang is not reachable, none is halted: to halt only some members would lose the
-// progress of all. A gang that is incomplete, or has a done task, is not halted either.
-func (t *attemptTracker) checkpointGang(gang *jobstore.Job, now time.Time) {
+// progress of all. A gang that is incomplete, or has a done task, is not halted either. checkpointGang
+// reports whether the members are halted.
+func (t *attemptTracker) checkpointGang(gang *jobstore.Job, now time.Time) (halted bool) {
 	reachable := true
 	gang.EachAttempt(func(attempt *jobstore.Attempt) {
 		machine := t.machines.findOrAdd(attempt.Machine, now)
@@ -119,12 +120,13 @@
 	})
 	if !reachable || gang.DoneTasks() > 0 || !gang.GangComplete() {
 		slog.Debug("gang not halted for a checkpoint: a machine is unreachable, a task is done or the gang is incomplete", "job", gang.Spec.ID)
-		return
+		return false
 	}
 	gang.EachAttempt(func(attempt *jobstore.Attempt) {
 		machine := t.machines.findOrAdd(attempt.Machine, now)
 		machine.Stop(machine.AssignmentOf(attempt), gang.Spec.SaveS)
 	})
+	return true
 }
 
 // reachable reports whether commands sent to a machine can be expected to arrive: its heartbeats are
--- a/internal/leader/scheduler.go
+++ b/internal/leader/scheduler.go
@@ -135,11 +135,13 @@
 func (s *scheduler) stopPreempted(preemptions []placement.Preemption, waiting []*jobstore.Job, assignments [][]*agent.Assignment, now time.Time) {
 	for _, preemption := range preemptions {
 		victim := assignments[preemption.Machine][preemption.TaskID]
-		slog.Info("task preempted", "task", victim.TaskName(), "machine", victim.Machine, "for", waiting[preemption.Job].Spec.ID)
 		if victim.Job.IsGang() {
-			s.attempts.checkpointGang(victim.Job, now)
-			continue
+			if halted := s.attempts.checkpointGang(victim.Job, now); !halted {
+				continue
+			}
+		} else {
+			s.machines.registry.At(preemption.Machine).Stop(victim, victim.Job.Spec.SaveS)
 		}
-		s.machines.registry.At(preemption.Machine).Stop(victim, victim.Job.Spec.SaveS)
+		slog.Info("task preempted", "task", victim.TaskName(), "machine", victim.Machine, "for", waiting[preemption.Job].Spec.ID)
 	}
 }
--- a/internal/leader/scheduler_test.go
+++ b/internal/leader/scheduler_test.go
@@ -1,12 +1,16 @@
 package leader
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"math"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
+	"tulipshelf/internal/agent"
 	"tulipshelf/internal/cloud"
 	"tulipshelf/internal/config"
 	"tulipshelf/internal/job"
@@ -139,3 +143,35 @@
 		})
 	}
 }
+
+// Guards against a log that names preemptions which did not take place: a gang is not halted while one of
+// its machines cannot be reached.
+func TestOnlyHaltedGangIsLoggedAsPreempted(t *testing.T) {
+	var log bytes.Buffer
+	previous := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	defer slog.SetDefault(previous)
+	for reachable, want := range map[bool]int{true: 1, false: 0} {
+		log.Reset()
+		l := newTestLeader(healthSettings())
+		record := arrayRecord("wk-000001", 2)
+		record.Spec.Shape = job.Gang
+		gang, urgent := l.admit(t, record), l.admit(t, arrayRecord("wk-000002", 1))
+		now := time.Now()
+		machines := registerMachines(l, 0, 2, now)
+		var assignments [][]*agent.Assignment
+		for task, machine := range machines {
+			attempt := l.jobs.store.StartAttempt(gang, task, 1, machine.Name, 1, now)
+			assignments = append(assignments, []*agent.Assignment{machine.Assign(attempt, now)})
+		}
+		machines[1].ProbeFailed = !reachable
+		preemptions := []placement.Preemption{{Machine: 0, TaskID: 0, Job: 0}}
+		l.scheduler.stopPreempted(preemptions, []*jobstore.Job{urgent}, assignments, now)
+		if got := strings.Count(log.String(), "task preempted"); got != want {
+			t.Errorf("all machines reachable %t: %d lines on a preemption, want %d", reachable, got, want)
+		}
+		if assignments[0][0].Stopping != reachable {
+			t.Errorf("all machines reachable %t: member halted %t", reachable, assignments[0][0].Stopping)
+		}
+	}
+}
