--- a/internal/controller/leader_access_test.go
+++ b/internal/controller/leader_access_test.go
@@ -34,13 +34,6 @@
 	return c.processes[i].node.leader.Load().Loaded()
 }
 
-// registeredMachines returns the size of the machine registry of controller i, which must lead. That is the
-// number of machines as long as none is gone.
-func (c *cluster) registeredMachines(i int) (count int) {
-	c.processes[i].node.leader.Load().Inspect(func(machines *agent.Registry) { count = machines.Size() })
-	return count
-}
-
 // presentMachines returns the names of the machines that are not gone, according to the machine registry of
 // controller i, which must lead.
 func (c *cluster) presentMachines(i int) (names []string) {
