--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -333,40 +333,53 @@
 	waitCtx, cancel := context.WithTimeout(ctx, time.Duration(waitMS)*time.Millisecond)
 	defer cancel()
 	for isOpen := false; ; isOpen = true {
-		s.mu.Lock()
-		if s.faults.Down && !isOpen {
-			s.mu.Unlock()
-			return wire.Response{Status: wire.StatusServiceUnavailable} // an outage refuses only new watches
-		}
-		if s.compactedRevision > after {
-			s.mu.Unlock()
-			return wire.Response{Status: wire.StatusGone}
+		state, resp := s.stateForWatch(after, query["starts"], isOpen)
+		if resp.Status != 0 {
+			return resp
 		}
-		found := s.changesAfter(after, query["starts"])
-		changed, rev, faults := s.changed, s.rev, s.faults
-		s.mu.Unlock()
-		if len(found) > 0 && !faults.Down {
-			time.Sleep(faults.WatchDelay)
-			return ok(map[string]any{"epoch": rev, "events": found})
+		if len(state.found) > 0 && !state.faults.Down {
+			time.Sleep(state.faults.WatchDelay)
+			return ok(map[string]any{"epoch": state.revision, "events": state.found})
 		}
 		timeout := waitCtx.Done()
-		if faults.Down {
+		if state.faults.Down {
 			timeout = ctx.Done() // an open watch is not answered in an outage, even after its time
 		}
 		select {
-		case <-changed:
+		case <-state.changed:
 		case <-timeout:
 			if ctx.Err() != nil {
 				return wire.Response{Status: statusDropConnection}
 			}
-			if s.isDown() {
-				continue
+			if !s.isDown() {
+				return ok(map[string]any{"epoch": state.revision})
 			}
-			return ok(map[string]any{"epoch": rev})
 		}
 	}
 }
 
+// watchState is what a watch depends on, at one moment.
+type watchState struct {
+	found    []kvstore.Event // changes that the watch is for
+	revision uint64          // revision of the store
+	changed  <-chan struct{} // closed at the next change, or at the end of an outage
+	faults   StoreFaults
+}
+
+// stateForWatch returns the state for a watch of a prefix after a revision. The response has status 0
+// unless the watch is refused: an outage refuses only new watches.
+func (s *Store) stateForWatch(after uint64, prefix string, isOpen bool) (watchState, wire.Response) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.faults.Down && !isOpen:
+		return watchState{}, wire.Response{Status: wire.StatusServiceUnavailable}
+	case s.compactedRevision > after:
+		return watchState{}, wire.Response{Status: wire.StatusGone}
+	}
+	return watchState{s.changesAfter(after, prefix), s.rev, s.changed, s.faults}, wire.Response{}
+}
+
 func (s *Store) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/jobstore/end_order_test.go
+++ b/internal/jobstore/end_order_test.go
@@ -43,11 +43,11 @@
 
 // ended deletes the garbage of jobs that were returned as ended, as the leader does.
 func (f *endOrderFixture) ended(jobs ...*Job) {
-	for _, job := range jobs {
-		if job == nil {
+	for _, ended := range jobs {
+		if ended == nil {
 			continue
 		}
-		for _, mutation := range job.GarbageMutations(8) {
+		for _, mutation := range ended.GarbageMutations(8) {
 			f.deletions = append(f.deletions, mutation.Delete)
 		}
 	}
