controller: Resign before an ordinary stop

What callers saw: after SIGTERM to the leading controller nothing is placed or recorded until its lease has expired.

Cause: the process stopped without revoking the lease.

Evidence, without the resignation: TestOrderlyStopIsFollowedAtOnce: "not within 1s: another leader"; TestResignedLeaderIsFollowedAtOnce: `keys ["lead/holder"] after Resign, want none`, "b was not elected within 500ms".

Why this works: on a signal the leader's work ends and its lease is revoked before the process stops, for at most 1 s.

--- a/cmd/tulipshelf/run.go
+++ b/cmd/tulipshelf/run.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"tulipshelf/internal/controller"
 )
@@ -17,7 +18,10 @@
 // count: buffers of the operating system and the binary itself.
 const memoryLimitShare = 0.6
 
-// run runs the controller until ctx ends, and returns nil then. The error is that of the controller, or a
+// resignTimeout limits the time that a controller takes to end its leadership before it stops.
+const resignTimeout = time.Second
+
+// run runs the controller until ctx ends, and returns nil then. A leader resigns before it stops. The error is that of the controller, or a
 // usageError if LOG_LEVEL is not a level.
 func run(ctx context.Context, configuration configuration) error {
 	level, err := logLevel(os.Getenv("LOG_LEVEL"))
@@ -33,7 +37,15 @@
 		slog.Info("unusual setting", "warning", warning)
 	}
 	node := controller.New(settings, configuration.operator, controller.Network{})
-	if err := node.Run(ctx); err != nil {
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	defer context.AfterFunc(ctx, func() {
+		defer stop()
+		resignCtx, cancel := context.WithTimeout(runCtx, resignTimeout)
+		defer cancel()
+		node.Resign(resignCtx)
+	})()
+	if err := node.Run(runCtx); err != nil {
 		slog.Error("controller failed", "err", err)
 		return err
 	}
--- a/internal/controller/election_test.go
+++ b/internal/controller/election_test.go
@@ -3,6 +3,7 @@
 // Elections and failovers: terms only increase, and tasks keep running under the next leader.
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -263,3 +264,19 @@
 		}
 	}
 }
+
+// Guards against a time without a leader at an ordinary stop, as in an upgrade: a leader that resigns before
+// it stops is followed at once. Its tasks run on.
+func TestOrderlyStopIsFollowedAtOnce(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.waitForElection()
+		c.runService(4)
+		old := c.leader()
+		c.processes[old].node.Resign(context.Background())
+		c.kill(old)
+		c.waitForLeaderOtherThan(old, time.Second)
+		c.submitUntilAccepted(5*time.Second, c.leader(), newJob("wk-000002", job.Array, 2, 1))
+		c.waitUntil("array done", time.Minute, func() bool { return c.status(c.leader(), "wk-000002") == "done" })
+		c.checkStartedOnce()
+	})
+}
--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -27,6 +27,10 @@
 	term.Resign(context.WithoutCancel(ctx))
 }
 
+// Resign ends this controller's leadership, if it leads, so that another controller can be elected at once.
+// It is called before an ordinary stop, and waits until that has been recorded or ctx ends.
+func (n *Node) Resign(ctx context.Context) { n.candidate.Resign(ctx) }
+
 func (n *Node) newLeader(ctx context.Context, term *leadership.Term) *leader.Leader {
 	cfg := leader.Config{Settings: n.settings, Operator: n.operator, Store: n.store, Cloud: n.cloud, Dial: n.dial, Node: leaderNode{n}}
 	return leader.New(ctx, cfg, term)
--- a/internal/leadership/candidate.go
+++ b/internal/leadership/candidate.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// Resign ends this node's leadership, if it leads, and returns once its lease is revoked or ctx ends. It is
+// called before an ordinary stop of the process. Guards against a time without a leader: otherwise
+// another node is elected only after the lease has expired.
+func (c *Candidate) Resign(ctx context.Context) {
+	c.mu.Lock()
+	current := c.view.current
+	if c.view.markTransferring() {
+		current.cancel()
+	}
+	c.mu.Unlock()
+	if current == nil {
+		return
+	}
+	select {
+	case <-current.released:
+	case <-ctx.Done():
+	}
+}
+
 // ObserveToken handles a fencing token that an agent has seen. A token above this leader's own
 // is issued only to a leader that is elected later, so it ends this node's leadership, unless
 // the key-value store shows that no such term was issued. The leadership also ends if the store
--- a/internal/leadership/renew.go
+++ b/internal/leadership/renew.go
@@ -40,6 +40,7 @@
 	defer cancel()
 	c.mu.Lock()
 	c.view.beginTerm(term, cancel)
+	released := c.view.current.released
 	c.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
@@ -50,8 +51,13 @@
 	c.renewUntilLost(leadCtx, term)
 	cancel()
 	<-done
-	if transferred := c.endTerm(); transferred {
-		c.completeTransfer(ctx, term)
+	transferring := c.endTerm()
+	if transferring {
+		term.Resign(ctx)
+	}
+	close(released)
+	if transferring {
+		c.awaitTransfer(ctx)
 	}
 }
 
@@ -120,11 +126,7 @@
 	return nil
 }
 
-// completeTransfer revokes the lease and pauses, so that another node can be elected. The
-// leader's work has ended before and sends nothing more under the term. The pause is 0.5 to 1.5
-// times the lease's TTL, and so ends about when the lease would have expired. If no other node
-// has been elected by its end, this node campaigns again.
-func (c *Candidate) completeTransfer(ctx context.Context, term *Term) {
-	term.Resign(ctx)
-	clock.Sleep(ctx, jitter(c.LeaseTTL))
-}
+// awaitTransfer pauses after the lease was revoked, so that another node can be elected. The pause is 0.5 to
+// 1.5 times the lease's TTL, and so ends about when the lease would have expired. If no other node has
+// been elected by its end, this node campaigns again.
+func (c *Candidate) awaitTransfer(ctx context.Context) { clock.Sleep(ctx, jitter(c.LeaseTTL)) }
--- a/internal/leadership/renew_test.go
+++ b/internal/leadership/renew_test.go
@@ -96,3 +96,21 @@
 		}
 	})
 }
+
+// Guards against a time without a leader at an ordinary stop: a leader that resigns first is followed at
+// once, one that does not only after its lease has expired.
+func TestResignedLeaderIsFollowedAtOnce(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		a := c.start("a")
+		c.awaitElected(a, time.Second)
+		b := c.start("b")
+		time.Sleep(leaseTTL)
+		a.Resign(c.ctx)
+		if keys := c.store.Keys(holderKey); len(keys) != 0 {
+			t.Errorf("keys %q after Resign, want none", keys)
+		}
+		a.stop()
+		c.awaitElected(b, leaseTTL/4)
+		a.Resign(c.ctx) // returns at once, as a does not lead
+	})
+}
--- a/internal/leadership/view.go
+++ b/internal/leadership/view.go
@@ -23,6 +23,7 @@
 	term         *Term
 	cancel       context.CancelFunc // cancels the context of the leader's work
 	transferring bool               // whether the leadership ends by a transfer to another node
+	released     chan struct{}      // closed when its work has ended and, after a transfer, its lease is revoked
 }
 
 // knownLeader returns the leader, "" if unknown, and the highest known term, for publication to
@@ -62,7 +63,7 @@
 // beginTerm records that this node has become the leader. cancel cancels the context of the
 // leader's work.
 func (v *view) beginTerm(term *Term, cancel context.CancelFunc) {
-	v.current = &activeTerm{term: term, cancel: cancel}
+	v.current = &activeTerm{term: term, cancel: cancel, released: make(chan struct{})}
 }
 
 // endTerm records that this node, self, is no longer the leader.
