--- a/internal/relay/proxy_test.go
+++ b/internal/relay/proxy_test.go
@@ -353,20 +353,28 @@
 	})
 }
 
+// runProxyWithCommands runs a proxy whose store holds haltCommands of term 3 for incarnation 2. It must be
+// called in a bubble, which is left empty.
+func runProxyWithCommands(t *testing.T) *Proxy {
+	t.Helper()
+	t.Cleanup(func() { time.Sleep(time.Minute) })
+	network, store := fake.NewNetwork(t.Context()), fake.NewStore()
+	go network.Serve(t.Context(), storeAddr, store.Handle)
+	synctest.Wait()
+	store.Put(DownKey("shelf-1", 0), wire.Marshal(haltCommands(3, 2)))
+	p := newTestProxy()
+	p.Store, p.Dial = kvstore.New(network.Dial("shelf-1"), storeAddr, 100, 100), network.Dial("shelf-1")
+	go p.Run(t.Context())
+	return p
+}
+
 // Guards against commands that are lost after a period without heartbeats: the proxy has dropped the
 // commands that it had read, and has to read them again however soon the next heartbeat arrives.
 func TestCommandsAreReadAgainAfterIdlePeriod(t *testing.T) {
 	for gap := idleTimeout - time.Second; gap <= idleTimeout+watchTimeout+2*time.Second; gap += 250 * time.Millisecond {
 		t.Run(gap.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				t.Cleanup(func() { time.Sleep(time.Minute) })
-				network, store := fake.NewNetwork(t.Context()), fake.NewStore()
-				go network.Serve(t.Context(), storeAddr, store.Handle)
-				synctest.Wait()
-				store.Put(DownKey("shelf-1", 0), wire.Marshal(haltCommands(3, 2)))
-				p := newTestProxy()
-				p.Store, p.Dial = kvstore.New(network.Dial("shelf-1"), storeAddr, 100, 100), network.Dial("shelf-1")
-				go p.Run(t.Context())
+				p := runProxyWithCommands(t)
 				answer := func(sequence uint64) []agent.Command {
 					heartbeat := testHeartbeat(2, sequence)
 					return p.AnswerHeartbeat(&heartbeat, "shelf-0", 3).Commands
@@ -390,19 +398,11 @@
 // Guards against commands that are delivered although the leader has deleted them.
 func TestDeletedCommandsAreNotDelivered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		t.Cleanup(func() { time.Sleep(time.Minute) })
-		network, store := fake.NewNetwork(t.Context()), fake.NewStore()
-		go network.Serve(t.Context(), storeAddr, store.Handle)
-		synctest.Wait()
-		key := DownKey("shelf-1", 0)
-		store.Put(key, wire.Marshal(haltCommands(3, 2)))
-		p := newTestProxy()
-		p.Store, p.Dial = kvstore.New(network.Dial("shelf-1"), storeAddr, 100, 100), network.Dial("shelf-1")
-		go p.Run(t.Context())
+		p := runProxyWithCommands(t)
 		heartbeat := testHeartbeat(2, 1)
 		p.AnswerHeartbeat(&heartbeat, "shelf-0", 3)
 		time.Sleep(2 * time.Second)
-		if _, err := p.Store.Txn(t.Context(), nil, []kvstore.Mutation{{Delete: key}}, kvstore.PriorityUser); err != nil {
+		if _, err := p.Store.Txn(t.Context(), nil, []kvstore.Mutation{{Delete: DownKey("shelf-1", 0)}}, kvstore.PriorityUser); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(2 * time.Second)
