jobstore: Look for withdrawn starts of a cancelled job only where there were any

Since every dirty chunk of a cancelled job was searched for unrecorded attempts each time changes are listed: 100,000 look-ups for the largest job. A chunk has such attempts only if its count of unrecorded starts says so; the count is cleared when none is left.

--- a/internal/jobstore/candidate.go
+++ b/internal/jobstore/candidate.go
@@ -107,16 +107,20 @@
 	return candidate{job: j, urgency: urgencyOverdue, weight: waited.Seconds()}
 }
 
-// chunkUrgency returns the urgency of writing a chunk, and whether the write is due at now.
+// chunkUrgency returns the urgency of writing a chunk, and whether the write is due at now. It clears the
+// count of unrecorded starts of a cancelled job's chunk once all of them were withdrawn.
 func (j *Job) chunkUrgency(c *chunk, now time.Time) (level urgency, due bool) {
 	if !c.dirty || j.unreadable {
 		return urgencyDeferrable, false
 	}
-	if c.unrecordedStarts > 0 && !j.Cancelled {
-		return urgencyStart + urgency(j.Spec.Rank()), true
+	if c.unrecordedStarts > 0 && j.Cancelled {
+		if len(j.unrecordedAttempts(c.index)) > 0 {
+			return urgencyDeferrable, false // the starts are about to be withdrawn unsent
+		}
+		c.unrecordedStarts = 0 // all of them were withdrawn
 	}
-	if j.Cancelled && len(j.unrecordedAttempts(c.index)) > 0 {
-		return urgencyDeferrable, false // the starts are about to be withdrawn unsent
+	if c.unrecordedStarts > 0 {
+		return urgencyStart + urgency(j.Spec.Rank()), true
 	}
 	waited := now.Sub(c.dirtySince)
 	if waited >= maxDeferral {
