--- a/internal/leader/sizer.go
+++ b/internal/leader/sizer.go
@@ -278,7 +278,7 @@
 	var cpus float64
 	var largest *jobstore.Job
 	s.jobs.store.Each(func(service *jobstore.Job) {
-		if service.Spec.Shape != job.Service || service.Cancelled || !s.jobs.hasTeam(service) {
+		if service.Spec.Shape != job.Service || service.Cancelled || indexOf(s.topology.teamIndex, service.Spec.Team) == unknownIndex {
 			return
 		}
 		cpus += float64(service.Spec.Tasks) * service.Spec.CPUs
