--- a/cmd/tulipshelf/run.go
+++ b/cmd/tulipshelf/run.go
@@ -21,8 +21,8 @@
 // resignTimeout limits the time that a controller takes to end its leadership before it stops.
 const resignTimeout = time.Second
 
-// run runs the controller until ctx ends, and returns nil then. A leader resigns before it stops. The error is that of the controller, or a
-// usageError if LOG_LEVEL is not a level.
+// run runs the controller until ctx ends, and returns nil then. A leader resigns before it stops. The error
+// is that of the controller, or a usageError if LOG_LEVEL is not a level.
 func run(ctx context.Context, configuration configuration) error {
 	level, err := logLevel(os.Getenv("LOG_LEVEL"))
 	if err != nil {
@@ -37,6 +37,16 @@
 		slog.Info("unusual setting", "warning", warning)
 	}
 	node := controller.New(settings, configuration.operator, controller.Network{})
+	if err := runAndResign(ctx, node); err != nil {
+		slog.Error("controller failed", "err", err)
+		return err
+	}
+	slog.Info("stopped")
+	return nil
+}
+
+// runAndResign runs a controller until ctx ends and, if it leads then, until it has resigned.
+func runAndResign(ctx context.Context, node *controller.Node) error {
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	defer context.AfterFunc(ctx, func() {
@@ -45,12 +55,7 @@
 		defer cancel()
 		node.Resign(resignCtx)
 	})()
-	if err := node.Run(runCtx); err != nil {
-		slog.Error("controller failed", "err", err)
-		return err
-	}
-	slog.Info("stopped")
-	return nil
+	return node.Run(runCtx)
 }
 
 // logLevel returns the log level with that name; "" stands for info. The error is a usageError.
--- a/internal/api/final_cache.go
+++ b/internal/api/final_cache.go
@@ -38,23 +38,18 @@
 
 // put caches the final status of a job, which must be durable in the key-value store.
 func (c *finalStateCache) put(id string, status JobStatus) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.statuses) >= maxFinalStates {
-		c.evictOne()
-	}
-	c.statuses[id] = status
+	c.putState(jobState{ID: id, Status: status})
 }
 
 // putState caches the final state of a job, which must be durable in the key-value store.
 func (c *finalStateCache) putState(state jobState) {
-	c.put(state.ID, state.Status)
-	if state.Done == 0 {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, found := c.statuses[state.ID]; found {
+	if len(c.statuses) >= maxFinalStates {
+		c.evictOne()
+	}
+	c.statuses[state.ID] = state.Status
+	if state.Done > 0 {
 		c.doneTasks[state.ID] = state.Done
 	}
 }
--- a/internal/jobstore/outcome.go
+++ b/internal/jobstore/outcome.go
@@ -58,10 +58,9 @@
 		delete(ended.chunks, index)
 	}
 	ended.addChunksToGarbage()
-	if !s.holds(ended) {
-		return s.remove(ended.Spec.ID) // the watch has reported the end before this answer
+	if current := s.remove(ended.Spec.ID); current != ended {
+		return current // the watch has reported the end before this answer
 	}
-	s.remove(ended.Spec.ID)
 	s.endedIDs[ended.Spec.ID] = struct{}{}
 	return nil
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -67,6 +67,21 @@
 	loop      *eventLoop
 }
 
+// shortestObjective returns the shortest time of the objectives that match; 0: none of them sets a time.
+func (e *environment) shortestObjective(matches func(*config.Objective) bool) time.Duration {
+	var shortest time.Duration
+	for i := range e.Settings.Objectives {
+		objective := &e.Settings.Objectives[i]
+		if objective.Within <= 0 || !matches(objective) {
+			continue
+		}
+		if shortest == 0 || objective.Within < shortest {
+			shortest = objective.Within
+		}
+	}
+	return shortest
+}
+
 // Leader holds the state of one leadership. Its concerns may be used only on the event loop, unless
 // their comment says otherwise.
 type Leader struct {
--- a/internal/leader/scheduler_jobs.go
+++ b/internal/leader/scheduler_jobs.go
@@ -133,17 +133,7 @@
 // guaranteeObjective returns the shortest time in which work within a guarantee should start; 0: none is
 // set.
 func (s *scheduler) guaranteeObjective() time.Duration {
-	var shortest time.Duration
-	for i := range s.Settings.Objectives {
-		objective := &s.Settings.Objectives[i]
-		if objective.Kind != config.KindGuarantee || objective.Within <= 0 {
-			continue
-		}
-		if shortest == 0 || objective.Within < shortest {
-			shortest = objective.Within
-		}
-	}
-	return shortest
+	return s.shortestObjective(func(objective *config.Objective) bool { return objective.Kind == config.KindGuarantee })
 }
 
 // priority returns a waiting job's priority: the lowest for opportunistic teams, whatever their jobs
--- a/internal/leader/sizer.go
+++ b/internal/leader/sizer.go
@@ -257,17 +257,9 @@
 // completionObjective returns the shortest time from submission in which jobs of a class should be
 // complete, by the objectives of that class; 0: none is set.
 func (s *sizer) completionObjective(class string) time.Duration {
-	var shortest time.Duration
-	for i := range s.Settings.Objectives {
-		objective := &s.Settings.Objectives[i]
-		if objective.Class != class || objective.Within <= 0 || objective.Kind == config.KindWait {
-			continue
-		}
-		if shortest == 0 || objective.Within < shortest {
-			shortest = objective.Within
-		}
-	}
-	return shortest
+	return s.shortestObjective(func(objective *config.Objective) bool {
+		return objective.Class == class && objective.Kind != config.KindWait
+	})
 }
 
 // serviceReserve returns the reserve for anticipated services, which miss their objective unless they
@@ -278,7 +270,7 @@
 	var cpus float64
 	var largest *jobstore.Job
 	s.jobs.store.Each(func(service *jobstore.Job) {
-		if service.Spec.Shape != job.Service || service.Cancelled || indexOf(s.topology.teamIndex, service.Spec.Team) == unknownIndex {
+		if service.Spec.Shape != job.Service || service.Cancelled || !s.jobs.hasTeam(service) {
 			return
 		}
 		cpus += float64(service.Spec.Tasks) * service.Spec.CPUs
--- a/internal/leader/writer_test.go
+++ b/internal/leader/writer_test.go
@@ -19,30 +19,49 @@
 
 const storeAddr = "10.2.0.1:2379"
 
+// writerTest is a key-value store with a candidate of the node node-0, in simulated time.
+type writerTest struct {
+	ctx       context.Context
+	cancel    context.CancelFunc
+	network   *fake.Network
+	store     *fake.Store
+	client    *kvstore.Client // the candidate's
+	candidate *leadership.Candidate
+}
+
+// startWriterTest starts the store. It must be called in a synctest bubble, which end leaves empty.
+func startWriterTest() *writerTest {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &writerTest{ctx: ctx, cancel: cancel, network: fake.NewNetwork(ctx), store: fake.NewStore()}
+	go w.network.Serve(ctx, storeAddr, w.store.Handle)
+	synctest.Wait()
+	w.client = kvstore.New(w.network.Dial("10.0.0.1:8080"), storeAddr, 200, 60)
+	w.candidate = &leadership.Candidate{Node: "node-0", LeaseTTL: 4 * time.Second, Store: w.client}
+	return w
+}
+
+func (w *writerTest) end() {
+	w.cancel()
+	time.Sleep(time.Minute) // lets requests in flight end
+}
+
 // Guards against writes by a leader after another term has begun. The compare on the term's key refuses
 // its next batch, and Run returns leadership.ErrDeposed.
 func TestDeposedByTheCompareOnTheTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer func() {
-			cancel()
-			time.Sleep(time.Minute) // lets requests in flight end
-		}()
-		network, store := fake.NewNetwork(ctx), fake.NewStore()
-		go network.Serve(ctx, storeAddr, store.Handle)
-		client := kvstore.New(network.Dial("10.0.0.1:8080"), storeAddr, 200, 60)
-		candidate := &leadership.Candidate{Node: "node-0", LeaseTTL: 4 * time.Second, Store: client}
+		w := startWriterTest()
+		defer w.end()
 		ended := make(chan error, 1)
-		go candidate.Run(ctx, func(ctx context.Context, term *leadership.Term) {
-			ended <- New(ctx, writerTestConfig(client, network), term).Run()
-			cancel()
+		go w.candidate.Run(w.ctx, func(ctx context.Context, term *leadership.Term) {
+			ended <- New(ctx, writerTestConfig(w.client, w.network), term).Run()
+			w.cancel()
 		})
 		time.Sleep(2 * time.Second)
-		beginNextTerm(t, client)
+		beginNextTerm(t, w.client)
 		if err := <-ended; !errors.Is(err, leadership.ErrDeposed) {
 			t.Errorf("Run returned %v, want leadership.ErrDeposed", err)
 		}
-		if keys := store.Keys(jobstore.EndKey("")); len(keys) != 0 {
+		if keys := w.store.Keys(jobstore.EndKey("")); len(keys) != 0 {
 			t.Errorf("job ends written after the next term began: %v", keys)
 		}
 	})
@@ -66,36 +85,28 @@
 // and was executed late. The leader adopts the term and goes on writing.
 func TestLateAdvanceDoesNotDepose(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer func() {
-			cancel()
-			time.Sleep(time.Minute) // lets requests in flight end
-		}()
-		network, store := fake.NewNetwork(ctx), fake.NewStore()
-		go network.Serve(ctx, storeAddr, store.Handle)
-		synctest.Wait()
-		client := kvstore.New(network.Dial("10.0.0.1:8080"), storeAddr, 200, 60)
-		candidate := &leadership.Candidate{Node: "node-0", LeaseTTL: 4 * time.Second, Store: client}
+		w := startWriterTest()
+		defer w.end()
 		terms, ended := make(chan *leadership.Term, 1), make(chan error, 1)
-		go candidate.Run(ctx, func(ctx context.Context, term *leadership.Term) {
+		go w.candidate.Run(w.ctx, func(ctx context.Context, term *leadership.Term) {
 			terms <- term
-			ended <- New(ctx, writerTestConfig(client, network), term).Run()
+			ended <- New(ctx, writerTestConfig(w.client, w.network), term).Run()
 		})
 		term := <-terms
 		time.Sleep(time.Second)
-		store.SetFaults(fake.StoreFaults{HoldNext: 1, HoldPrefix: "lead/"})
-		if err := term.Advance(ctx); !errors.Is(err, kvstore.ErrUnknown) {
+		w.store.SetFaults(fake.StoreFaults{HoldNext: 1, HoldPrefix: "lead/"})
+		if err := term.Advance(w.ctx); !errors.Is(err, kvstore.ErrUnknown) {
 			t.Fatalf("Advance: error %v, want ErrUnknown", err)
 		}
-		store.ReleaseHeld()
-		putCancelledJob(t, client)
+		w.store.ReleaseHeld()
+		putCancelledJob(t, w.client)
 		time.Sleep(5 * time.Second)
 		select {
 		case err := <-ended:
 			t.Errorf("leader ended: %v", err)
 		default:
 		}
-		if keys := store.Keys(jobstore.EndKey("")); len(keys) != 1 || term.Number() != 2 {
+		if keys := w.store.Keys(jobstore.EndKey("")); len(keys) != 1 || term.Number() != 2 {
 			t.Errorf("term %d, ends of jobs %q; want term 2 and the end of the cancelled job", term.Number(), keys)
 		}
 	})
--- a/internal/leadership/candidate.go
+++ b/internal/leadership/candidate.go
@@ -62,29 +62,28 @@
 
 // TransferLeadership ends this node's leadership, if it leads, so that a node that the machines
 // can reach is elected. It does not wait for the election.
-func (c *Candidate) TransferLeadership() {
+func (c *Candidate) TransferLeadership() { c.beginTransfer() }
+
+// beginTransfer ends this node's leadership by a transfer and returns it; nil if the node does not lead.
+func (c *Candidate) beginTransfer() *activeTerm {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.view.markTransferring() {
 		c.view.current.cancel()
 	}
+	return c.view.current
 }
 
 // Resign ends this node's leadership, if it leads, and returns once its lease is revoked or ctx ends. It is
 // called before an ordinary stop of the process. Guards against a time without a leader: otherwise
 // another node is elected only after the lease has expired.
 func (c *Candidate) Resign(ctx context.Context) {
-	c.mu.Lock()
-	current := c.view.current
-	if c.view.markTransferring() {
-		current.cancel()
-	}
-	c.mu.Unlock()
-	if current == nil {
+	ending := c.beginTransfer()
+	if ending == nil {
 		return
 	}
 	select {
-	case <-current.released:
+	case <-ending.released:
 	case <-ctx.Done():
 	}
 }
--- a/internal/placement/rollback.go
+++ b/internal/placement/rollback.go
@@ -59,9 +59,10 @@
 // rollBack restores the pass and the gang to the savepoint and clears it.
 func (p *pass) rollBack(gang *Job) {
 	for machineIndex, before := range p.savepoint.machines {
-		p.invalidateOptionsOn(machineIndex)
 		if p.ownsTasks[machineIndex] {
 			p.invalidateTasksOn(machineIndex) // they have changed since the savepoint was set
+		} else {
+			p.invalidateOptionsOn(machineIndex)
 		}
 		p.machines[machineIndex] = before.machine
 		p.ownsTasks[machineIndex] = before.ownsTasks
