--- a/review/_world/main.go
+++ b/review/_world/main.go
@@ -9,7 +9,7 @@
 )
 
 // cases are the cases that the folders of the review start. Each returns the exit status.
-var cases = map[string]func(w *World, trouble bool) int{"standstill": standstill, "avoided": avoided}
+var cases = map[string]func(w *World, trouble bool) int{"standstill": standstill, "avoided": avoided, "memory": memory}
 
 func main() {
 	dir := flag.String("dir", ".", "folder of record.txt")
--- a/review/_world/rules.go
+++ b/review/_world/rules.go
@@ -157,3 +157,5 @@
 }
 
 func (r *Rules) usedBy(crew string) float64 { r.mu.Lock(); defer r.mu.Unlock(); return r.used[crew] }
+
+func (r *Rules) startCount() int { r.mu.Lock(); defer r.mu.Unlock(); return r.starts }
