--- a/review/_world/machine.go
+++ b/review/_world/machine.go
@@ -64,6 +64,8 @@
 	late    float64
 	unhang  chan struct{}
 	dead    bool
+	failed  bool
+	sick    bool // fails every task that it starts
 	lateRep float64
 	cut     []string // by controller: "", "reset" or "hold"
 }
@@ -88,7 +90,17 @@
 	return m
 }
 
-func (m *Machine) isUp() bool { m.mu.Lock(); defer m.mu.Unlock(); return m.up }
+func (m *Machine) cloudStatus() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.failed:
+		return "failed"
+	case m.up:
+		return "running"
+	}
+	return "starting"
+}
 
 func (m *Machine) describe() string {
 	m.mu.Lock()
@@ -493,6 +505,10 @@
 		m.exit(id, t, "done")
 		return
 	}
+	if m.sick {
+		t.timer = time.AfterFunc(300*time.Millisecond, func() { m.whenAwake(id, t, func() { m.exit(id, t, "error") }) })
+		return
+	}
 	if spec.Shape == "service" {
 		return
 	}
--- a/review/_world/world.go
+++ b/review/_world/world.go
@@ -144,6 +144,20 @@
 	w.setCloud(6, 5*time.Second, "depot-node", 4, 8, 0.15, 20*time.Second)
 }
 
+// omaruru lays out the world like kit/sites/omaruru-fares.toml.
+func (w *World) omaruru() {
+	w.fleet()
+	w.teams = nil
+	for i := range 10 {
+		w.addTeam(fmt.Sprintf("fare-core-%d", i), 8, 24)
+	}
+	w.lease, w.reportEvery, w.cancelWithin = 24*time.Second, 3*time.Second, 54*time.Second
+	w.objectives[0] = map[string]any{"kind": "wait", "class": "tap-validate", "within_s": 25.0, "share": 0.88}
+	w.resources = map[string]any{"cpu_share": 0.12, "mem_mb": 125.0, "max_sockets": 1200}
+	w.setLimits(250, 20, 32, 16)
+	w.setCloud(3, 5*time.Second, "depot-node", 4, 8, 0.15, 20*time.Second)
+}
+
 func (w *World) setLimits(rps, writes, valueKB float64, txnOps int) {
 	w.state = map[string]any{"rps": rps, "write_rps": writes, "value_kb": valueKB, "txn_ops": txnOps}
 	w.store.valueKB, w.store.txnOps, w.store.rps, w.store.writes = valueKB, txnOps, newBucket(rps), newBucket(writes)
