Count the size of a batch in JSON, as the key-value store does

Arrays stayed "running" and new jobs "pending" beside 700 empty machines.

Cause: all records go out in one stream of batches. A batch was filled up to 48 KiB of the CBOR that is sent; the store counts 64 KiB of JSON, and a live attempt takes 31 bytes there in place of 20. The refused batch was then built again as it was.

On the fakes the fault does not show as long as their store counts only values; with the whole transaction counted, the new cluster test fails in the same way.

Why this works: wire.JSONSize gives the JSON size of an encoded value, exact for integers and plain text and an upper bound for the rest; a batch takes a change only while the sum with keys, compares and deletions stays under 60 KiB. Both sides now use one measure, which replaces a second one for the values of chunks.

Tests that failed before: - TestManyTasksRestartAfterLeasesExpired: "not within 1m29.8725s: tasks run" - TestBatchOfManyStartsWithinTransactionLimit: transactions of 67,902, 69,212 and 71,832 bytes, want at most 65,536 The fake store now checks every transaction of every test against 64 KiB of JSON and the number of compares, and the size of values in the tests of rechunks is counted in JSON in place of CBOR; both are stricter than before.

--- a/internal/controller/api_test.go
+++ b/internal/controller/api_test.go
@@ -105,7 +105,7 @@
 // its submission is known after it.
 func TestSubmissionsAcceptedUnderPollLoad(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.storeRPS = 60
+		c.storeLimits.RPS = 60
 		c.restartEach()
 		c.waitForElection()
 		c.runService(4)
@@ -159,7 +159,7 @@
 // that once all faults are over, each job that is queried is answered within 75 s.
 func TestAllPollsAnsweredAfterOutage(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.storeRPS = 30
+		c.storeLimits.RPS = 30
 		c.restartEach()
 		c.waitForElection()
 		const jobs = 150
@@ -197,7 +197,7 @@
 // confirmed as cancelled. Some jobs are cancelled right after their acceptance.
 func TestReadsAreConsistentAfterWrites(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.storeRPS = 400
+		c.storeLimits.RPS = 400
 		c.restartEach()
 		c.waitForElection()
 		readers := &consistentReaders{t: t, c: c}
--- a/internal/controller/cancellation_test.go
+++ b/internal/controller/cancellation_test.go
@@ -166,7 +166,7 @@
 // against two different final statuses in answers to users: the one that is answered first stays.
 func TestCancelRacesWithCompletion(t *testing.T) {
 	simulate(t, func(c *cluster) {
-		c.storeRPS = 400
+		c.storeLimits.RPS = 400
 		c.restartEach()
 		c.waitForElection()
 		c.runService(4) // boots machines in advance
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -47,7 +47,7 @@
 	users      atomic.Int64 // number of users' requests so far, each from a host of its own
 	answers    answerLog
 
-	storeRPS        float64             // rate of the store in the settings, in requests a second
+	storeLimits     config.StoreLimits  // limits of the store in the settings, without nextStoreLimits
 	teamCPUs        float64             // the team's limit, in CPUs
 	zones           []string            // controller i is in zone i modulo the number of zones
 	nextStoreLimits *config.StoreLimits // lower limits announced in the settings; nil if none
@@ -100,7 +100,8 @@
 // newCluster returns a cluster of which no controller has been started.
 func newCluster(ctx context.Context, t *testing.T) *cluster {
 	c := &cluster{t: t, network: fake.NewNetwork(ctx), store: fake.NewStore(), invariants: fake.NewInvariantChecker(),
-		storeRPS: 200, teamCPUs: 16, zones: []string{"a"}}
+		storeLimits: config.StoreLimits{RPS: 200, WriteRPS: 60, ValueBytes: 8 << 10, TxnOps: 8},
+		teamCPUs:    16, zones: []string{"a"}}
 	c.invariants.CancelDeadline = cancelDeadline
 	c.answers = answerLog{lastStatus: map[string]string{}, invariants: c.invariants}
 	var names, addrs []string
@@ -170,9 +171,10 @@
 		},
 		Workers: config.Workers{HeartbeatInterval: 3 * time.Second, Lease: agentLease, CancelDeadline: cancelDeadline,
 			GangWait: 45 * time.Second, GangNotice: 4 * time.Second},
-		Store:     config.StoreLimits{RPS: c.storeRPS, WriteRPS: 60, ValueBytes: 8 << 10, TxnOps: 8, Next: c.nextStoreLimits},
+		Store:     c.storeLimits,
 		Cloud:     config.CloudLimits{RPS: 5, ListLag: 2 * time.Second},
 		Resources: config.Resources{CPUShare: 1, MemBytes: 1 << 27, MaxSockets: 1000}}
+	s.Store.Next = c.nextStoreLimits
 	for k := range controllers {
 		if k != i {
 			s.Peers = append(s.Peers, config.Peer{Node: nodeName(k), Zone: c.zones[k%len(c.zones)], Addr: peerAddr(k)})
--- a/internal/controller/kvstore_transaction_test.go
+++ b/internal/controller/kvstore_transaction_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"tulipshelf/internal/config"
 	"tulipshelf/internal/fake"
 	"tulipshelf/internal/job"
 	"tulipshelf/internal/jobstore"
@@ -142,3 +143,33 @@
 		c.waitForStatuses(3*time.Minute, want)
 	})
 }
+
+// Guards against a leader that starts nothing any more: all controllers are away until the leases of 150
+// machines have expired, the tasks of five arrays then start again at the same time, and their records
+// together exceed the store's limit on the size of a transaction, which it counts in JSON. Nothing waits for
+// 90 s once the controllers are back, and no transaction is refused for its size.
+func TestManyTasksRestartAfterLeasesExpired(t *testing.T) {
+	const arrays, tasksPerArray, machines = 5, 580, 150
+	simulate(t, func(c *cluster) {
+		c.storeLimits = config.StoreLimits{RPS: 800, WriteRPS: 70, ValueBytes: 32 << 10, TxnOps: 16}
+		c.restartWithCapacity(machines, 1000)
+		c.enforceStoreLimits(c.storeLimits)
+		for i := range arrays {
+			array := newJob(jobID(i), job.Array, tasksPerArray, 600).withResources(0.2, 0.5)
+			c.submitUntilAccepted(10*time.Second, i%controllers, array)
+			c.waitUntilRunningOf(jobID(i), tasksPerArray, 2*time.Minute)
+		}
+		c.killAll()
+		time.Sleep(agentLease + 2*time.Second)
+		if n := c.invariants.RunningTasks(); n != 0 {
+			t.Fatalf("%d tasks run after the leases have expired, want 0", n)
+		}
+		c.startAll()
+		back := time.Now()
+		c.submitUntilAccepted(10*time.Second, 0, newJob("wk-000100", job.Service, 1, 0))
+		c.waitUntilRunning(arrays*tasksPerArray+1, 90*time.Second-time.Since(back))
+		if refused := c.store.Refusals(); refused.TooLarge != 0 {
+			t.Errorf("%d transactions refused for their size, want 0", refused.TooLarge)
+		}
+	})
+}
--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -20,7 +20,7 @@
 func TestLoadBoundedAtFourThousandMachines(t *testing.T) {
 	const machines, arrays, services = 4000, 48, 300
 	simulate(t, func(c *cluster) {
-		c.storeRPS = 800
+		c.storeLimits.RPS = 800
 		c.restartWithCapacity(machines, 1e6)
 		for i := range arrays {
 			c.submitUntilAccepted(10*time.Second, i%controllers, newJob(jobID(i), job.Array, 500, 60))
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -42,7 +42,7 @@
 	random            *rand.Rand   // selects the responses that LoseOneResponseIn loses
 	held              []func()     // functions that apply the transactions held back by HoldNext
 	dueInOutage       [][]byte     // bodies of late transactions that came due in an outage, oldest first
-	limits            *StoreLimits // nil: no limits
+	limits            *StoreLimits // nil: only maxTransactionBytes
 	writes            *rate.Limiter
 	refusals          StoreRefusals
 	counts            storeCounts
--- a/internal/fake/store_faults.go
+++ b/internal/fake/store_faults.go
@@ -165,7 +165,8 @@
 	WriteRPS   float64 // maximum number of mutations per second, also as a burst
 }
 
-// SetLimits makes the store enforce limits from now on. Without a call the store has no limits.
+// SetLimits makes the store enforce limits from now on. Without a call the store enforces only
+// maxTransactionBytes.
 func (s *Store) SetLimits(limits StoreLimits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -173,8 +174,8 @@
 	s.writes = rate.NewLimiter(rate.Limit(limits.WriteRPS), int(limits.WriteRPS))
 }
 
-// StoreRefusals counts the transactions that exceeded a limit: TooLarge those refused for ValueBytes or
-// TxnOps, and TooMany those for WriteRPS.
+// StoreRefusals counts the transactions that exceeded a limit: TooLarge those refused for maxTransactionBytes,
+// ValueBytes or TxnOps, and TooMany those for WriteRPS.
 type StoreRefusals struct{ TooLarge, TooMany int }
 
 // Refusals returns the numbers of transactions refused so far.
@@ -184,33 +185,66 @@
 	return s.refusals
 }
 
+// maxTransactionBytes is the protocol's limit on the size of a transaction in its JSON form, in bytes.
+const maxTransactionBytes = 64 << 10
+
 // checkLimits returns the response to a transaction that exceeds the limits, and a response with status 0
 // if it does not. The caller holds mu.
 func (s *Store) checkLimits(body []byte) wire.Response {
 	var transaction struct {
+		Compares  []any `cbor:"when"`
 		Mutations []struct {
 			Value any `cbor:"value"`
 		} `cbor:"then"`
 	}
-	if s.limits == nil || wire.Unmarshal(body, &transaction) != nil {
+	if wire.Unmarshal(body, &transaction) != nil {
 		return wire.Response{}
 	}
-	tooLarge := len(transaction.Mutations) > s.limits.TxnOps
-	for _, mutation := range transaction.Mutations {
-		text, err := json.Marshal(jsonValue(mutation.Value))
-		tooLarge = tooLarge || err != nil || len(text) > s.limits.ValueBytes
+	tooLarge := exceedsInJSON(body, maxTransactionBytes)
+	if s.limits != nil {
+		maxCompares := 4 * s.limits.TxnOps
+		tooLarge = tooLarge || len(transaction.Mutations) > s.limits.TxnOps || len(transaction.Compares) > maxCompares
+		for _, mutation := range transaction.Mutations {
+			tooLarge = tooLarge || jsonSize(mutation.Value) > s.limits.ValueBytes
+		}
 	}
 	switch {
 	case tooLarge:
 		s.refusals.TooLarge++
 		return wire.Response{Status: wire.StatusBadRequest, Body: wire.Marshal(map[string]string{"error": "too large"})}
-	case !s.writes.AllowN(time.Now(), len(transaction.Mutations)):
+	case s.limits != nil && !s.writes.AllowN(time.Now(), len(transaction.Mutations)):
 		s.refusals.TooMany++
 		return wire.Response{Status: wire.StatusTooManyRequests}
 	}
 	return wire.Response{}
 }
 
+// exceedsInJSON reports whether the JSON form of an encoded value is longer than a number of bytes.
+func exceedsInJSON(encoded []byte, limit int) bool {
+	const maxGrowth = 5 // null, the value that grows most, takes one byte in CBOR and four and a comma in JSON
+	return len(encoded) > limit/maxGrowth && JSONSize(encoded) > limit
+}
+
+// JSONSize returns the size of the JSON form of an encoded value, in bytes, as the receivers of requests
+// count it. It uses an encoder of JSON, unlike wire.JSONSize, and so checks that function in tests. It
+// panics if the value is invalid.
+func JSONSize(encoded []byte) int {
+	var value any
+	if err := wire.UnmarshalValue(encoded, &value); err != nil {
+		panic(fmt.Sprintf("fake: decode value: %v", err))
+	}
+	return jsonSize(value)
+}
+
+// jsonSize returns the size of the JSON form of a decoded value, in bytes.
+func jsonSize(value any) int {
+	text, err := json.Marshal(jsonValue(value))
+	if err != nil {
+		panic(fmt.Sprintf("fake: JSON form of a value: %v", err))
+	}
+	return len(text)
+}
+
 // jsonValue converts a decoded CBOR value to one that json.Marshal accepts.
 func jsonValue(value any) any {
 	switch value := value.(type) {
--- a/internal/jobstore/batch.go
+++ b/internal/jobstore/batch.go
@@ -10,24 +10,16 @@
 	"tulipshelf/internal/wire"
 )
 
-const (
-	// maxBatchBytes limits the estimated size of a transaction, in bytes. It leaves a margin below
-	// the key-value store's limit of 64 KiB.
-	maxBatchBytes = 48 << 10
-
-	// mutationOverheadBytes is the estimated size of a mutation without its value, in bytes.
-	mutationOverheadBytes = 200
-
-	// minEndMutations is the minimum number of mutations for the end of a job: one puts the final
-	// state, one deletes the job's record.
-	minEndMutations = 2
-)
+// minEndMutations is the minimum number of mutations for the end of a job: one puts the final state, one
+// deletes the job's record.
+const minEndMutations = 2
 
 // Batch holds the changes of one transaction. The leader executes it on condition that all Compares
 // hold, and then reports the outcome to Store.BatchCommitted or Store.BatchFailed.
 type Batch struct {
 	Compares  []kvstore.Compare
 	Mutations []kvstore.Mutation
+	Bytes     int // size of the transaction in bytes of JSON, or slightly more
 
 	chunks  []chunkWrite
 	ends    []endWrite
@@ -57,7 +49,8 @@
 
 // NextBatch builds a transaction of the most urgent changes within limits. It returns nil if nothing
 // can be written now. A job that needs to be rechunked comes first, in a batch of its own. A chunk
-// whose value exceeds limits.ValueBytes is left out until the value fits.
+// whose value exceeds limits.ValueBytes, or is too large for any transaction, is left out until the value
+// fits.
 //
 // The batch is conditional on fence, the compare of the leader's term. Its outcome has to be reported
 // before the next call: only one batch may be in flight.
@@ -70,17 +63,17 @@
 		return nil
 	}
 	slices.SortFunc(candidates, candidate.compare)
-	batch := &Batch{Compares: []kvstore.Compare{fence}}
-	builder := batchBuilder{batch: batch, limits: limits, lastEnd: s.endSequence}
+	builder := newBatchBuilder(fence, limits)
+	builder.lastEnd = s.endSequence
 	for _, c := range candidates {
 		if !builder.add(c) {
 			break
 		}
 	}
-	if len(batch.Mutations) == 0 {
+	if len(builder.batch.Mutations) == 0 {
 		return nil
 	}
-	return batch
+	return builder.batch
 }
 
 // batchBuilder adds candidates to a batch until one of its limits is reached.
@@ -88,7 +81,13 @@
 	batch   *Batch
 	limits  BatchLimits
 	lastEnd uint64 // Store.endSequence at the time the batch is built
-	bytes   int    // estimated size of the transaction
+}
+
+// newBatchBuilder returns the builder of a batch that is conditional on fence and has no changes so far.
+func newBatchBuilder(fence kvstore.Compare, limits BatchLimits) batchBuilder {
+	builder := batchBuilder{batch: &Batch{Bytes: kvstore.EmptyTransactionBytes}, limits: limits}
+	builder.compare(fence)
+	return builder
 }
 
 // add adds a candidate or skips it. It returns false if the batch takes no more candidates.
@@ -97,15 +96,14 @@
 		return false
 	}
 	if c.isEnd() {
-		b.addEnd(c.job)
-		return true
+		return b.addEnd(c.job)
 	}
 	return b.addChunk(c.job, c.chunk)
 }
 
 // isFullFor reports whether the batch takes neither next nor any less urgent candidate.
 func (b *batchBuilder) isFullFor(next candidate) bool {
-	if b.mutationsLeft() <= 0 || b.bytes > maxBatchBytes {
+	if b.mutationsLeft() <= 0 {
 		return true
 	}
 	canWait := next.urgency < urgencyOverdue
@@ -119,48 +117,67 @@
 
 func (b *batchBuilder) mutationsLeft() int { return b.limits.Mutations - len(b.batch.Mutations) }
 
+// fits reports whether the transaction may grow by a number of bytes of JSON.
+//
+// Guards against batches that the key-value store refuses whenever they are sent: it counts the JSON form
+// of a transaction, and for hundreds of live attempts that is half as long again as the CBOR form that is
+// sent (docs/incidents/batch-over-transaction-limit.md).
+func (b *batchBuilder) fits(bytes int) bool {
+	return b.batch.Bytes+bytes <= kvstore.UsableTransactionBytes
+}
+
 // addChunk adds the write of a chunk, and returns false if the transaction is full. A chunk whose
 // value is too large is skipped: the value fits once enough of the chunk's tasks have ended.
 func (b *batchBuilder) addChunk(job *Job, changed *chunk) bool {
-	value := job.chunkValue(changed.index)
-	if value.jsonBytes() > b.limits.ValueBytes {
+	value := wire.Marshal(job.chunkValue(changed.index))
+	valueBytes := wire.JSONSize(value)
+	if valueBytes > b.limits.ValueBytes {
 		return true
 	}
-	encoded := wire.Marshal(value)
-	b.bytes += len(encoded) + mutationOverheadBytes
-	if b.bytes > maxBatchBytes && len(b.batch.Mutations) > 0 {
-		return false
-	}
 	key := job.chunkKey(changed.index)
-	b.compare(key, changed.revision)
-	write := chunkWrite{job: job, chunk: changed, lastEnd: b.lastEnd}
-	if changed.unrecordedStarts > 0 {
-		write.starts = job.unrecordedAttempts(changed.index)
-	}
+	put := kvstore.Mutation{Put: key, Value: value}
+	compares := []kvstore.Compare{{Key: key, Revision: changed.revision}}
 	if changed.unrecordedStarts > 0 || changed.revision == 0 {
 		// A start must not be recorded once its job is cancelled, nor a chunk be created once its job has
 		// ended, however late the transaction is executed.
-		b.compare(JobKey(job.Spec.ID), job.Revision)
+		compares = append(compares, job.compare())
+	}
+	if !b.fits(put.Size(valueBytes) + sizeOf(compares)) {
+		onlyTooLarge := len(b.batch.Mutations) == 0 // no transaction has room for it
+		return onlyTooLarge
+	}
+	b.compare(compares...)
+	b.mutate(put, valueBytes)
+	write := chunkWrite{job: job, chunk: changed, lastEnd: b.lastEnd}
+	if changed.unrecordedStarts > 0 {
+		write.starts = job.unrecordedAttempts(changed.index)
 	}
-	b.mutate(kvstore.Mutation{Put: key, Value: encoded})
 	b.batch.chunks = append(b.batch.chunks, write)
 	changed.dirty, changed.unrecordedStarts = false, 0 // changes while in flight set them again
 	return true
 }
 
-// addEnd adds the end of a job, or skips it if it needs more mutations than are left.
-func (b *batchBuilder) addEnd(job *Job) {
-	b.bytes += mutationOverheadBytes
+// addEnd adds the end of a job, and returns false if the transaction is full. It skips an end that needs
+// more mutations than are left.
+func (b *batchBuilder) addEnd(job *Job) bool {
 	if b.mutationsLeft() < minEndMutations {
-		return
+		return true
 	}
 	id := job.Spec.ID
-	final := FinalState{Status: job.finalStatus(), Tasks: job.Spec.Tasks}
-	b.compare(JobKey(id), job.Revision)
-	b.mutate(kvstore.Mutation{Put: EndKey(id), Value: wire.Marshal(final)})
-	b.mutate(kvstore.Mutation{Delete: JobKey(id)})
+	final := wire.Marshal(FinalState{Status: job.finalStatus(), Tasks: job.Spec.Tasks})
+	finalBytes := wire.JSONSize(final)
+	record := job.compare()
+	put := kvstore.Mutation{Put: EndKey(id), Value: final}
+	deletion := kvstore.Mutation{Delete: JobKey(id)}
+	if !b.fits(record.Size() + put.Size(finalBytes) + deletion.Size(0)) {
+		return false
+	}
+	b.compare(record)
+	b.mutate(put, finalBytes)
+	b.mutate(deletion, 0)
 	b.batch.ends = append(b.batch.ends, endWrite{job: job, deletedChunks: b.deleteChunks(job)})
 	job.endInFlight = true
+	return true
 }
 
 // deleteChunks adds deletions of an ended job's chunks as far as there is write rate to spare, and
@@ -174,21 +191,40 @@
 		if c.revision == 0 && !c.dirty {
 			continue
 		}
-		if len(b.batch.Mutations) >= limit {
+		deletion := kvstore.Mutation{Delete: job.chunkKey(index)}
+		if len(b.batch.Mutations) >= limit || !b.fits(deletion.Size(0)) {
 			break
 		}
-		b.mutate(kvstore.Mutation{Delete: job.chunkKey(index)})
+		b.mutate(deletion, 0)
 		deleted = append(deleted, index)
 	}
 	return deleted
 }
 
-func (b *batchBuilder) compare(key string, revision uint64) {
-	b.batch.Compares = append(b.batch.Compares, kvstore.Compare{Key: key, Revision: revision})
+// compare adds compares to the transaction.
+func (b *batchBuilder) compare(compares ...kvstore.Compare) {
+	b.batch.Compares = append(b.batch.Compares, compares...)
+	b.batch.Bytes += sizeOf(compares)
 }
 
-func (b *batchBuilder) mutate(mutation kvstore.Mutation) {
+// mutate adds a mutation whose value has a size to the transaction.
+func (b *batchBuilder) mutate(mutation kvstore.Mutation, valueBytes int) {
 	b.batch.Mutations = append(b.batch.Mutations, mutation)
+	b.batch.Bytes += mutation.Size(valueBytes)
+}
+
+// sizeOf returns the size of compares in a transaction, in bytes of JSON.
+func sizeOf(compares []kvstore.Compare) int {
+	size := 0
+	for i := range compares {
+		size += compares[i].Size()
+	}
+	return size
+}
+
+// compare returns the compare of the job's record at its present revision.
+func (j *Job) compare() kvstore.Compare {
+	return kvstore.Compare{Key: JobKey(j.Spec.ID), Revision: j.Revision}
 }
 
 // finalStatus returns the FinalState.Status with which the end of the job is recorded.
--- a/internal/jobstore/helpers_test.go
+++ b/internal/jobstore/helpers_test.go
@@ -144,8 +144,8 @@
 func checkValueSizes(t *testing.T, batch *Batch, valueBytes int) {
 	t.Helper()
 	for _, mutation := range batch.Mutations {
-		if len(mutation.Value) > valueBytes {
-			t.Fatalf("value of %d bytes, want at most %d", len(mutation.Value), valueBytes)
+		if size := wire.JSONSize(mutation.Value); mutation.Put != "" && size > valueBytes {
+			t.Fatalf("value of %d bytes, want at most %d", size, valueBytes)
 		}
 	}
 }
--- a/internal/jobstore/rechunk.go
+++ b/internal/jobstore/rechunk.go
@@ -34,12 +34,12 @@
 	write.record.FirstChunk = rechunkedFirstChunk
 	write.record.PreviousChunkSize = job.record.ChunkSize
 	write.record.Arrival = job.Arrival
-	key := JobKey(job.Spec.ID)
-	return &Batch{
-		Compares:  []kvstore.Compare{fence, {Key: key, Revision: job.Revision}},
-		Mutations: []kvstore.Mutation{{Put: key, Value: wire.Marshal(write.record)}},
-		rechunk:   write,
-	}
+	builder := newBatchBuilder(fence, limits)
+	builder.compare(job.compare())
+	value := wire.Marshal(write.record)
+	builder.mutate(kvstore.Mutation{Put: JobKey(job.Spec.ID), Value: value}, wire.JSONSize(value))
+	builder.batch.rechunk = write
+	return builder.batch
 }
 
 // firstToRechunk returns the earliest job by arrival that needs to be rechunked, or nil. The key-value
@@ -74,7 +74,7 @@
 // hasOversizedChunk reports whether the value of a dirty chunk exceeds valueBytes.
 func (j *Job) hasOversizedChunk(valueBytes int) bool {
 	for index, c := range j.chunks {
-		if c.dirty && j.chunkValue(index).jsonBytes() > valueBytes {
+		if c.dirty && wire.JSONSize(wire.Marshal(j.chunkValue(index))) > valueBytes {
 			return true
 		}
 	}
