Divide a batch that the key-value store has refused

What callers would see: one record that the store refuses, for whatever reason, stops all others. No task starts and no job ends any more.

Cause: batchWritten.apply took status 400 for a passing failure, marked all changes to be written again, and the next batch was the same. The only trace was a line at debug without sizes, which could not tell the size from another reason.

Why this works: after a refusal the next batch holds half as many changes, down to one; a change that is refused by itself is left out for 2 s at a time, so that at most one write in 2 s is lost to it. Each committed batch raises the number by one, so batches grow back. A rechunk, which goes before all other changes, is left out in the same way. The refusal is logged as an error with bytes, mutations and compares.

--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -198,3 +198,28 @@
 		})
 	}
 }
+
+// Guards against one record that stops all others: the store takes smaller values than the settings say,
+// without an announcement, so it refuses the record of an array each time it is sent. The jobs whose records
+// are small run beside it.
+func TestRefusedRecordDoesNotBlockOtherJobs(t *testing.T) {
+	simulate(t, func(c *cluster) {
+		c.storeLimits.ValueBytes = 32 << 10
+		c.restartWithLargeFleet()
+		lowered := c.storeLimits
+		lowered.ValueBytes = 2 << 10
+		c.enforceStoreLimits(lowered)
+		c.submitUntilAccepted(10*time.Second, 0, newJob("wk-000001", job.Array, 300, 600).withResources(0.1, 0.1).withPriority(highPriority))
+		want := map[string]string{}
+		for i := 10; i < 30; i++ {
+			c.submitUntilAccepted(10*time.Second, i%controllers, newJob(jobID(i), job.Array, 2, 5).withPriority(lowPriority))
+			want[jobID(i)] = jobstore.StatusDone
+		}
+		c.submitUntilAccepted(10*time.Second, 0, newJob("wk-000002", job.Service, 4, 0))
+		c.waitForStatuses(90*time.Second, want)
+		c.waitUntilRunningOf("wk-000002", 4, 90*time.Second)
+		if refused := c.store.Refusals(); refused.TooLarge == 0 {
+			t.Error("no transaction refused for its size, want at least one")
+		}
+	})
+}
--- a/internal/jobstore/batch.go
+++ b/internal/jobstore/batch.go
@@ -55,7 +55,7 @@
 // The batch is conditional on fence, the compare of the leader's term. Its outcome has to be reported
 // before the next call: only one batch may be in flight.
 func (s *Store) NextBatch(fence kvstore.Compare, limits BatchLimits, now time.Time) *Batch {
-	if batch := s.nextRechunk(fence, limits); batch != nil {
+	if batch := s.nextRechunk(fence, limits, now); batch != nil {
 		return batch
 	}
 	candidates := s.candidates(now)
@@ -66,7 +66,7 @@
 	builder := newBatchBuilder(fence, limits)
 	builder.lastEnd = s.endSequence
 	for _, c := range candidates {
-		if !builder.add(c) {
+		if s.takesNoMoreChanges(builder.batch) || !builder.add(c) {
 			break
 		}
 	}
--- a/internal/jobstore/candidate.go
+++ b/internal/jobstore/candidate.go
@@ -79,7 +79,9 @@
 	var found []candidate
 	for job := range s.dirty {
 		if job.readyToEnd() {
-			found = append(found, job.endCandidate(now))
+			if !now.Before(job.pausedUntil) {
+				found = append(found, job.endCandidate(now))
+			}
 			continue
 		}
 		for _, c := range job.chunks {
@@ -110,7 +112,7 @@
 // chunkUrgency returns the urgency of writing a chunk, and whether the write is due at now. It clears the
 // count of unrecorded starts of a cancelled job's chunk once all of them were withdrawn.
 func (j *Job) chunkUrgency(c *chunk, now time.Time) (level urgency, due bool) {
-	if !c.dirty || j.unreadable {
+	if !c.dirty || j.unreadable || now.Before(c.pausedUntil) {
 		return urgencyDeferrable, false
 	}
 	if c.unrecordedStarts > 0 && j.Cancelled {
--- a/internal/jobstore/chunk.go
+++ b/internal/jobstore/chunk.go
@@ -16,6 +16,7 @@
 	dirty            bool      // whether there are changes that no batch holds yet
 	dirtySince       time.Time // start of the waiting time of these changes
 	unrecordedStarts int       // number of starts that no batch holds yet, also of attempts ended since
+	pausedUntil      time.Time // end of the pause after a refusal (Store.BatchRefused)
 }
 
 // chunkOf returns the index of the chunk that holds a task.
--- a/internal/jobstore/job.go
+++ b/internal/jobstore/job.go
@@ -30,6 +30,8 @@
 	unrecordedEnds map[int]uint64
 	endReadySince  time.Time // time at which NextBatch first found the job ready to end; zero: not yet
 
+	pausedUntil time.Time // end of the pause of the job's end and rechunk after a refusal (Store.BatchRefused)
+
 	gangDispatch gangDispatchState
 
 	// unreadable is whether a stored chunk of the job could not be loaded. The states of its tasks are then
--- a/internal/jobstore/outcome.go
+++ b/internal/jobstore/outcome.go
@@ -7,6 +7,7 @@
 // duplicates that a late read has added (Store.remove). The starts may now be sent if
 // Attempt.Dispatchable reports true.
 func (s *Store) BatchCommitted(batch *Batch, revision uint64) (starts []*Attempt, ended []*Job) {
+	s.allowMoreChanges()
 	for _, write := range batch.chunks {
 		starts = write.recordStarts(starts)
 		write.recordEnds()
--- a/internal/jobstore/rechunk.go
+++ b/internal/jobstore/rechunk.go
@@ -12,6 +12,8 @@
 package jobstore
 
 import (
+	"time"
+
 	"tulipshelf/internal/kvstore"
 	"tulipshelf/internal/wire"
 )
@@ -24,8 +26,8 @@
 
 // nextRechunk returns a batch that rechunks the job returned by firstToRechunk. It returns nil if there
 // is no such job or limits allow no mutation.
-func (s *Store) nextRechunk(fence kvstore.Compare, limits BatchLimits) *Batch {
-	job := s.firstToRechunk(limits.ValueBytes)
+func (s *Store) nextRechunk(fence kvstore.Compare, limits BatchLimits, now time.Time) *Batch {
+	job := s.firstToRechunk(limits.ValueBytes, now)
 	if job == nil || limits.Mutations < 1 {
 		return nil
 	}
@@ -43,11 +45,11 @@
 }
 
 // firstToRechunk returns the earliest job by arrival that needs to be rechunked, or nil. The key-value
-// store accepts values of at most valueBytes.
-func (s *Store) firstToRechunk(valueBytes int) *Job {
+// store accepts values of at most valueBytes. A job whose rechunk was refused is passed over for a while.
+func (s *Store) firstToRechunk(valueBytes int, now time.Time) *Job {
 	var first *Job
 	for job := range s.dirty {
-		if !job.needsRechunk(valueBytes) {
+		if now.Before(job.pausedUntil) || !job.needsRechunk(valueBytes) {
 			continue
 		}
 		if first == nil || job.Arrival < first.Arrival {
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -31,6 +31,8 @@
 
 	watchedRevision uint64 // revision up to which the changes of records have been applied (WatchReached)
 
+	maxChanges int // maximum number of changes in a batch after a refusal (BatchRefused); 0: no maximum
+
 	attemptSequence uint64 // sequence number in the last allocated attempt number; 0: none allocated
 	endSequence     uint64 // sequence number of the last end of an attempt; 0: none has ended
 }
--- a/internal/leader/writer.go
+++ b/internal/leader/writer.go
@@ -79,7 +79,7 @@
 		l.batchCommitted(e.batch, e.revision)
 		return
 	}
-	for _, j := range l.jobs.store.BatchFailed(e.batch) {
+	for _, j := range e.markUnwritten(l.jobs.store) {
 		l.attempts.jobEnded(j)
 	}
 	var conflict *kvstore.ConflictError
@@ -98,6 +98,17 @@
 	l.writer.readConflicts(conflict.Keys, e.fence.Key)
 }
 
+// markUnwritten marks the changes of the batch to be written again. It returns the jobs whose ends are
+// recorded all the same.
+func (e batchWritten) markUnwritten(store *jobstore.Store) (ended []*jobstore.Job) {
+	if !errors.Is(e.err, kvstore.ErrRejected) {
+		return store.BatchFailed(e.batch)
+	}
+	slog.Error("batch refused by the key-value store", "bytes", e.batch.Bytes, "mutations", len(e.batch.Mutations),
+		"compares", len(e.batch.Compares), "err", e.err)
+	return store.BatchRefused(e.batch, time.Now())
+}
+
 // batchCommitted marks the machines of recorded starts for a direct request, and removes jobs whose end
 // is recorded.
 func (l *Leader) batchCommitted(batch *jobstore.Batch, revision uint64) {
