Size the values of the relay in JSON

What callers would see: a zone that is served through the relay loses all of its machines. If some 220 of them report within one write of 8 KiB values (880 at 32 KiB), as after a few seconds in which the store refused the relay, the store refuses a value, and with it the write; the next write has the same heartbeats.

Sizes were taken in CBOR with an allowance of 10 to 6 for JSON; a heartbeat without changes, which goes first, takes 17 to 20 bytes in CBOR and 32 to 37 in JSON.

Why this works: heartbeats, commands, stored estimates and the stored catalog are measured by wire.JSONSize; the allowance (relay.UsableBytes) is gone.

relay_test measures with fake.JSONSize in place of a copy of the same code.

--- a/internal/controller/catalog.go
+++ b/internal/controller/catalog.go
@@ -9,7 +9,6 @@
 	"tulipshelf/internal/clock"
 	"tulipshelf/internal/cloud"
 	"tulipshelf/internal/kvstore"
-	"tulipshelf/internal/relay"
 	"tulipshelf/internal/wire"
 )
 
@@ -64,7 +63,7 @@
 // the last write, which a failed write does not change, so that the next refresh tries again.
 func (n *Node) storeCatalog(ctx context.Context, types []cloud.Type, stored []byte) []byte {
 	value := wire.Marshal(catalogValue{types})
-	tooLarge := len(value) > relay.UsableBytes(n.settings.Store.ValueBytes)
+	tooLarge := wire.JSONSize(value) > n.settings.Store.ValueBytes
 	if n.leader.Load() == nil || bytes.Equal(value, stored) || tooLarge {
 		return stored
 	}
--- a/internal/leader/forecast.go
+++ b/internal/leader/forecast.go
@@ -11,7 +11,6 @@
 	"tulipshelf/internal/jobstore"
 	"tulipshelf/internal/kvstore"
 	"tulipshelf/internal/placement"
-	"tulipshelf/internal/relay"
 	"tulipshelf/internal/wire"
 )
 
@@ -135,7 +134,7 @@
 	}
 	f.savedAt = now
 	value := wire.Marshal(f.estimates())
-	if len(value) > relay.UsableBytes(f.Settings.Store.ValueBytes) {
+	if wire.JSONSize(value) > f.Settings.Store.ValueBytes {
 		return
 	}
 	fence := f.term.Fence()
--- a/internal/leader/relays.go
+++ b/internal/leader/relays.go
@@ -48,10 +48,6 @@
 	relayWriteInterval = 500 * time.Millisecond
 )
 
-// batchOverheadBytes is the size reserved in each batch of commands for its fields other than the
-// commands.
-const batchOverheadBytes = 200
-
 func newRelayGateway(env *environment, topology *topology, machines *machineTable, heartbeats *heartbeatHandler) *relayGateway {
 	return &relayGateway{environment: env, topology: topology, machines: machines, heartbeats: heartbeats, relays: map[string]*relayState{}}
 }
@@ -188,7 +184,7 @@
 // the parts of the controller's state. It returns nil if there are neither such machines nor requests
 // for full heartbeats.
 func (g *relayGateway) commandParts(node string, state *relayState, now time.Time) []relay.CommandBatch {
-	limit := relay.UsableBytes(min(g.Settings.Store.ValueBytes, relay.MaxWriteBytes)) - batchOverheadBytes
+	limit := min(g.Settings.Store.ValueBytes, relay.MaxWriteBytes) - relay.BatchOverhead
 	parts := newCommandParts(len(state.lastWritten), g.term.Number(), limit)
 	anyRelayed := false
 	g.machines.registry.Each(func(machine *agent.Machine) {
@@ -220,7 +216,7 @@
 // commandParts is the commands for one controller's machines, divided into batches of bounded size.
 type commandParts struct {
 	batches   []relay.CommandBatch // by part
-	bytesLeft []int                // by part, the size that commands may still take
+	bytesLeft []int                // by part, the size that commands may still take, in bytes of JSON
 }
 
 func newCommandParts(count int, term uint64, limitBytes int) commandParts {
@@ -235,8 +231,7 @@
 // add adds a machine's commands to a part if they fit. Otherwise they are left out until the commands of
 // other machines have been carried out.
 func (p commandParts) add(part int, machineName string, commands relay.MachineCommands) {
-	const keyOverheadBytes = 2
-	size := len(machineName) + len(wire.Marshal(commands)) + keyOverheadBytes
+	size := len(`"":,`) + len(machineName) + wire.JSONSize(wire.Marshal(commands))
 	if size <= p.bytesLeft[part] {
 		p.bytesLeft[part] -= size
 		p.batches[part].Machines[machineName] = commands
@@ -256,8 +251,8 @@
 		if bytes.Equal(value, state.lastWritten[part]) || emptyAndUnwritten {
 			continue
 		}
-		size += len(value)
-		if size > relay.UsableBytes(relay.MaxWriteBytes) && len(mutations) > 0 {
+		size += wire.JSONSize(value) + relay.BatchOverhead
+		if size > relay.MaxWriteBytes && len(mutations) > 0 {
 			state.firstPart = part
 			break
 		}
--- a/internal/leader/relays_test.go
+++ b/internal/leader/relays_test.go
@@ -1,11 +1,14 @@
 package leader
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"tulipshelf/internal/config"
+	"tulipshelf/internal/fake"
 	"tulipshelf/internal/relay"
+	"tulipshelf/internal/wire"
 )
 
 // Guards against starts that count as sent although they were never written for the relay, because the
@@ -51,3 +54,39 @@
 		t.Errorf("%d starts marked as sent though left out, or not marked though written", wrong)
 	}
 }
+
+// Guards against commands that never reach a zone: the store counts values in JSON, and refuses those that
+// are small enough only in CBOR each time they are sent. Each machine of a zone gets one start, which grows
+// most. The value of each part stays within the limits of each deployment.
+func TestRelayedCommandsWithinLimitsInJSON(t *testing.T) {
+	for _, limits := range []config.StoreLimits{{ValueBytes: 2 << 10, TxnOps: 4}, {ValueBytes: 8 << 10, TxnOps: 8}, {ValueBytes: 32 << 10, TxnOps: 16}} {
+		settings := healthSettings()
+		settings.Store = limits
+		l := newTestLeader(settings)
+		const machineCount = 1500
+		j := l.admit(t, arrayRecord("wk-000001", machineCount))
+		now := time.Now()
+		for task, machine := range registerMachines(l, 0, machineCount, now) {
+			machine.RelayedBy, machine.Incarnation = "node-1", 1
+			number := l.jobs.store.NextAttemptNumber(l.term.Number())
+			attempt := l.jobs.store.StartAttempt(j, task, number, machine.Name, 1, now)
+			attempt.Recorded = true
+			machine.Assign(attempt, now)
+		}
+		state := l.relays.findOrAdd("node-1")
+		for machine := range 200 {
+			state.resendFull[fmt.Sprintf("vm-1%05d", machine)] = true
+		}
+		total := 0
+		for part, batch := range l.relays.commandParts("node-1", state, now) {
+			size := fake.JSONSize(wire.Marshal(batch))
+			total += size
+			if size > limits.ValueBytes || size < limits.ValueBytes*9/10 {
+				t.Errorf("limits %+v: part %d has %d bytes, want at most the limit, and nine tenths of it", limits, part, size)
+			}
+		}
+		if total > 60<<10 {
+			t.Errorf("limits %+v: all parts have %d bytes, want at most 60 KiB", limits, total)
+		}
+	}
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -147,14 +147,18 @@
 	}
 }
 
-// batchPacker packs heartbeats into batches within the limits of one transaction.
+// batchPacker packs heartbeats into batches within the limits of one transaction. Sizes are in bytes of
+// JSON, as the store counts them.
+//
+// Guards against a zone whose machines all count as silent: the store refuses a write with a value over its
+// limit, and the next write would have the same value (docs/incidents/relayed-heartbeats-over-value-limit.md).
 type batchPacker struct {
 	node       string
-	valueBytes int // bytes available for heartbeats in one batch
+	valueBytes int // limit on a batch
 	maxBatches int
 
-	transactionLeft int // bytes left in the transaction
-	batchLeft       int // bytes left in the last batch
+	transactionLeft int // left in the transaction
+	batchLeft       int // left in the last batch
 	batches         []HeartbeatBatch
 	forwarded       []forwardedHeartbeat // heartbeats packed into the batches
 }
@@ -162,28 +166,31 @@
 func newBatchPacker(node string, valueBytes, maxBatches int) *batchPacker {
 	return &batchPacker{
 		node:            node,
-		valueBytes:      UsableBytes(valueBytes) - BatchOverhead,
+		valueBytes:      valueBytes,
 		maxBatches:      maxBatches,
-		transactionLeft: UsableBytes(MaxWriteBytes),
+		transactionLeft: MaxWriteBytes,
 	}
 }
 
 // add packs a heartbeat if it fits, and skips it otherwise.
 func (b *batchPacker) add(next outgoing, now time.Time) {
 	if next.delta != nil {
-		if batch := b.reserve(len(wire.Marshal(*next.delta))); batch != nil {
+		if batch := b.reserve(elementSize(*next.delta)); batch != nil {
 			batch.Deltas = append(batch.Deltas, *next.delta)
 			b.forwarded = append(b.forwarded, forwardedHeartbeat{heartbeat: next.heartbeat, at: now, fullAt: next.previous.fullAt})
 		}
 		return
 	}
 	full := newFullHeartbeat(&next.heartbeat)
-	if batch := b.reserve(len(wire.Marshal(full))); batch != nil {
+	if batch := b.reserve(elementSize(full)); batch != nil {
 		batch.Full = append(batch.Full, full)
 		b.forwarded = append(b.forwarded, forwardedHeartbeat{heartbeat: next.heartbeat, at: now, fullAt: now})
 	}
 }
 
+// elementSize returns the size of a heartbeat or delta in a batch.
+func elementSize(element any) int { return wire.JSONSize(wire.Marshal(element)) + len(",") }
+
 // reserve reserves size bytes and returns the batch that contains them: the last one, or a new one if
 // they do not fit there. It returns nil if they fit in neither.
 func (b *batchPacker) reserve(size int) *HeartbeatBatch {
@@ -198,11 +205,12 @@
 // openBatch adds an empty batch. It returns false, and adds none, if the maximum number of batches is
 // reached or size bytes would not fit in a new one.
 func (b *batchPacker) openBatch(size int) bool {
-	usable := min(b.transactionLeft, b.valueBytes)
+	usable := min(b.transactionLeft, b.valueBytes) - BatchOverhead
 	if len(b.batches) == b.maxBatches || size > usable {
 		return false
 	}
 	b.batches = append(b.batches, HeartbeatBatch{Node: b.node})
 	b.batchLeft = usable
+	b.transactionLeft -= BatchOverhead
 	return true
 }
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -26,19 +26,15 @@
 func DownKey(node string, part int) string { return downNodePrefix(node) + strconv.Itoa(part) }
 
 const (
-	// MaxWriteBytes is the maximum total size, in bytes, of the values in one transaction. The store's limit
-	// for the whole request is 64 KiB.
+	// MaxWriteBytes is the maximum total size of the values in one transaction, in bytes of JSON, as the
+	// store counts it. The store's limit for the whole request is 64 KiB.
 	MaxWriteBytes = 48 << 10
 
-	// BatchOverhead is the number of bytes reserved in a batch for everything but heartbeats and
-	// commands: the names of its fields, the node's name and the term.
+	// BatchOverhead is the number of bytes reserved for each batch, in JSON, beside its heartbeats and
+	// commands: its key, the names of its fields, the node's name and the term.
 	BatchOverhead = 200
 )
 
-// UsableBytes returns the maximum encoded size, in bytes, of values under a size limit of the store.
-// The store counts the JSON form of a value, which is longer than the CBOR form written here.
-func UsableBytes(limit int) int { return limit * 6 / 10 }
-
 // HeartbeatBatch is the value under an up key.
 type HeartbeatBatch struct {
 	Node   string           `cbor:"node"` // name of the proxy
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"encoding/json"
 	"fmt"
 	"reflect"
 	"slices"
@@ -10,6 +9,8 @@
 	"time"
 
 	"tulipshelf/internal/agent"
+	"tulipshelf/internal/fake"
+	"tulipshelf/internal/kvstore"
 	"tulipshelf/internal/wire"
 )
 
@@ -67,7 +68,7 @@
 	t.Helper()
 	total := 0
 	for _, batch := range batches {
-		size := jsonSize(t, batch)
+		size := fake.JSONSize(wire.Marshal(batch))
 		total += size
 		if size > zoneValueBytes {
 			t.Fatalf("value of %d bytes, want at most %d", size, zoneValueBytes)
@@ -159,32 +160,58 @@
 	return inFull
 }
 
-// jsonSize returns the size of a value's JSON form in bytes, as counted by the store.
-func jsonSize(t *testing.T, v any) int {
-	var plain any
-	if err := wire.Unmarshal(wire.Marshal(v), &plain); err != nil {
-		t.Fatal(err)
-	}
-	b, err := json.Marshal(textKeys(plain))
-	if err != nil {
-		t.Fatal(err)
+// Guards against a zone whose machines all count as silent: the store counts values and transactions in
+// JSON, and refuses those that are small enough only in CBOR each time they are sent. Heartbeats without
+// changes grow most. All machines of a zone report at once, as after an outage of the store, in the middle
+// of a day and at its start. Each write stays within the limits of each deployment, and the first one
+// carries at least three in four of the heartbeats that they leave room for.
+func TestHeartbeatsOfWholeZoneWithinLimitsInJSON(t *testing.T) {
+	const machines, transactionBytes = 1500, 64 << 10
+	for _, test := range []struct{ valueBytes, txnOps int }{{2 << 10, 4}, {8 << 10, 8}, {32 << 10, 16}, {1 << 20, 100}} {
+		for _, sequence := range []uint64{1, 200, 70_000} {
+			t.Run(fmt.Sprintf("%d values of %d bytes, sequence %d", test.txnOps, test.valueBytes, sequence), func(t *testing.T) {
+				proxy := &Proxy{Node: "shelf-1", ValueBytes: test.valueBytes, TxnOps: test.txnOps}
+				report := func(sequence uint64) {
+					for i := range machines {
+						heartbeat := agent.Heartbeat{Machine: zoneMachine(i), Addr: "10.1.0.232:9000", Type: "box", Zone: "a", Incarnation: 1, Sequence: sequence, FencingToken: 3}
+						proxy.AnswerHeartbeat(&heartbeat, "shelf-0", 3)
+					}
+				}
+				forwardAll := func() (heartbeatsPerWrite []int) {
+					for len(proxy.pending) > 0 {
+						batches, forwarded := proxy.nextBatches(time.Unix(0, 0))
+						checkWriteInJSON(t, batches, test.valueBytes, test.txnOps, transactionBytes)
+						proxy.markForwarded(forwarded)
+						heartbeatsPerWrite = append(heartbeatsPerWrite, len(forwarded))
+					}
+					return heartbeatsPerWrite
+				}
+				report(sequence)
+				forwardAll()
+				report(sequence + 1)
+				const longestDelta = 45 // bytes of JSON, with a sequence number of five digits
+				want := min(machines, min(test.valueBytes*test.txnOps, 48<<10)*3/4/longestDelta)
+				if got := forwardAll(); got[0] < want {
+					t.Errorf("first write has %d of %d heartbeats without changes, want at least %d", got[0], machines, want)
+				}
+			})
+		}
 	}
-	return len(b)
 }
 
-// textKeys converts the keys of maps decoded from CBOR to strings, as JSON requires.
-func textKeys(v any) any {
-	switch v := v.(type) {
-	case map[any]any:
-		out := map[string]any{}
-		for k, e := range v {
-			out[fmt.Sprint(k)] = textKeys(e)
-		}
-		return out
-	case []any:
-		for i := range v {
-			v[i] = textKeys(v[i])
+// checkWriteInJSON fails the test if the store would refuse the write of batches for its size.
+func checkWriteInJSON(t *testing.T, batches []HeartbeatBatch, valueBytes, txnOps, transactionBytes int) {
+	t.Helper()
+	var mutations []kvstore.Mutation
+	for part, batch := range batches {
+		value := wire.Marshal(batch)
+		if size := fake.JSONSize(value); size > valueBytes {
+			t.Fatalf("value of %d bytes, want at most %d", size, valueBytes)
 		}
+		mutations = append(mutations, kvstore.Mutation{Put: upKey(batch.Node, part), Value: value})
+	}
+	size := fake.JSONSize(wire.Marshal(map[string]any{"when": nil, "then": mutations}))
+	if len(mutations) == 0 || len(mutations) > txnOps || size > transactionBytes {
+		t.Fatalf("%d mutations of %d bytes in total, want 1 to %d of at most %d", len(mutations), size, txnOps, transactionBytes)
 	}
-	return v
 }
