Divide a refused write of the relay

What callers would see: a zone that is served through the relay loses its machines, or gets no commands, because one write is refused for its size and built again as it was each half second.

Cause: as in the batches of records, the outcome of a write had no effect on the next one. The store refuses for ever what is over limits that the settings do not say; this node's own budget refuses for ever a write with more changes than one second's share.

Test that failed before: TestRefusedHeartbeatsAreDivided, "0 of 100 machines forwarded" with smaller values and "0 of 400" with fewer changes and with a low rate. TestRefusedCommandsAreDivided tests the leader's side, which uses the same limit.

--- a/internal/leader/relays.go
+++ b/internal/leader/relays.go
@@ -28,10 +28,11 @@
 // relayState is the leader's state of one controller that relays. The commands for its machines are
 // divided into parts, each written under a key of its own.
 type relayState struct {
-	lastWritten  [][]byte        // by part, the encoded commands last written; nil: none
-	firstPart    int             // part with which the next write begins, so that each has its turn
-	writing      bool            // a write of commands is in flight
-	nextWrite    time.Time       // earliest time of the next check for changed commands
+	lastWritten  [][]byte  // by part, the encoded commands last written; nil: none
+	firstPart    int       // part with which the next write begins, so that each has its turn
+	writing      bool      // a write of commands is in flight
+	nextWrite    time.Time // earliest time of the next check for changed commands
+	writeLimit   relay.WriteLimit
 	lastReceived time.Time       // when its last batch of heartbeats was applied
 	resendFull   map[string]bool // names of machines whose next heartbeat must be forwarded in full
 }
@@ -184,7 +185,7 @@
 // the parts of the controller's state. It returns nil if there are neither such machines nor requests
 // for full heartbeats.
 func (g *relayGateway) commandParts(node string, state *relayState, now time.Time) []relay.CommandBatch {
-	limit := min(g.Settings.Store.ValueBytes, relay.MaxWriteBytes) - relay.BatchOverhead
+	limit := min(g.Settings.Store.ValueBytes, state.writeLimit.Bytes()) - relay.BatchOverhead
 	parts := newCommandParts(len(state.lastWritten), g.term.Number(), limit)
 	anyRelayed := false
 	g.machines.registry.Each(func(machine *agent.Machine) {
@@ -238,12 +239,12 @@
 	}
 }
 
-// writeParts starts a write of the parts that have changed, as many as fit into one transaction and at
-// least one. The next call begins with the first part that did not fit.
+// writeParts starts a write of the parts that have changed, as many as fit into one transaction and the
+// write rate allows now, and at least one. The next call begins with the first part that did not fit.
 func (g *relayGateway) writeParts(node string, state *relayState, parts []relay.CommandBatch) {
 	var mutations []kvstore.Mutation
 	values := map[int][]byte{}
-	size := 0
+	size, maxParts := 0, g.Store.WriteBudget(kvstore.PriorityUser)
 	for i := range parts {
 		part := (state.firstPart + i) % len(parts)
 		value := wire.Marshal(parts[part])
@@ -252,7 +253,8 @@
 			continue
 		}
 		size += wire.JSONSize(value) + relay.BatchOverhead
-		if size > relay.MaxWriteBytes && len(mutations) > 0 {
+		full := size > state.writeLimit.Bytes() || len(mutations) >= maxParts
+		if full && len(mutations) > 0 {
 			state.firstPart = part
 			break
 		}
@@ -300,6 +302,7 @@
 
 func (e commandsRelayed) apply(*Leader) {
 	e.state.writing = false
+	e.state.writeLimit.Observe(e.err)
 	if e.err != nil {
 		slog.Debug("commands not relayed", "through", e.node, "err", e.err)
 		return
--- a/internal/leader/relays_test.go
+++ b/internal/leader/relays_test.go
@@ -7,6 +7,7 @@
 
 	"tulipshelf/internal/config"
 	"tulipshelf/internal/fake"
+	"tulipshelf/internal/kvstore"
 	"tulipshelf/internal/relay"
 	"tulipshelf/internal/wire"
 )
@@ -15,18 +16,10 @@
 // commands of other machines have filled the value: a machine that does not list such an attempt would
 // count as unresponsive and be returned.
 func TestStartsLeftOutOfRelayAreNotSent(t *testing.T) {
-	settings := healthSettings()
-	settings.Store = config.StoreLimits{ValueBytes: 2 << 10, TxnOps: 1}
-	l := newTestLeader(settings)
+	l := newTestLeader(settingsWithStore(config.StoreLimits{ValueBytes: 2 << 10, TxnOps: 1}))
 	const machineCount = 100
-	j := l.admit(t, arrayRecord("wk-000001", machineCount))
 	now := time.Now()
-	for task, machine := range registerMachines(l, 0, machineCount, now) {
-		machine.RelayedBy, machine.Incarnation = "node-1", 1
-		attempt := l.jobs.store.StartAttempt(j, task, l.jobs.store.NextAttemptNumber(l.term.Number()), machine.Name, 1, now)
-		attempt.Recorded = true
-		machine.Assign(attempt, now)
-	}
+	l.startOnRelayedMachines(t, machineCount, now)
 	state := &relayState{lastWritten: make([][]byte, 1), resendFull: map[string]bool{}}
 	batches := l.relays.commandParts("node-1", state, now)
 	if len(batches) != 1 || len(batches[0].Machines) == 0 || len(batches[0].Machines) == machineCount {
@@ -37,6 +30,25 @@
 	l.checkSentStarts(t, batches[0])
 }
 
+// settingsWithStore returns healthSettings with other limits of the key-value store.
+func settingsWithStore(limits config.StoreLimits) config.Settings {
+	settings := healthSettings()
+	settings.Store = limits
+	return settings
+}
+
+// startOnRelayedMachines adds machines whose heartbeats node-1 relays, and starts one recorded attempt on each.
+func (l *Leader) startOnRelayedMachines(t *testing.T, count int, now time.Time) {
+	t.Helper()
+	j := l.admit(t, arrayRecord("wk-000001", count))
+	for task, machine := range registerMachines(l, 0, count, now) {
+		machine.RelayedBy, machine.Incarnation = "node-1", 1
+		attempt := l.jobs.store.StartAttempt(j, task, l.jobs.store.NextAttemptNumber(l.term.Number()), machine.Name, 1, now)
+		attempt.Recorded = true
+		machine.Assign(attempt, now)
+	}
+}
+
 // checkSentStarts checks that just the starts for the machines in a batch count as sent.
 func (l *Leader) checkSentStarts(t *testing.T, written relay.CommandBatch) {
 	t.Helper()
@@ -60,19 +72,9 @@
 // most. The value of each part stays within the limits of each deployment.
 func TestRelayedCommandsWithinLimitsInJSON(t *testing.T) {
 	for _, limits := range []config.StoreLimits{{ValueBytes: 2 << 10, TxnOps: 4}, {ValueBytes: 8 << 10, TxnOps: 8}, {ValueBytes: 32 << 10, TxnOps: 16}} {
-		settings := healthSettings()
-		settings.Store = limits
-		l := newTestLeader(settings)
-		const machineCount = 1500
-		j := l.admit(t, arrayRecord("wk-000001", machineCount))
+		l := newTestLeader(settingsWithStore(limits))
 		now := time.Now()
-		for task, machine := range registerMachines(l, 0, machineCount, now) {
-			machine.RelayedBy, machine.Incarnation = "node-1", 1
-			number := l.jobs.store.NextAttemptNumber(l.term.Number())
-			attempt := l.jobs.store.StartAttempt(j, task, number, machine.Name, 1, now)
-			attempt.Recorded = true
-			machine.Assign(attempt, now)
-		}
+		l.startOnRelayedMachines(t, 1500, now)
 		state := l.relays.findOrAdd("node-1")
 		for machine := range 200 {
 			state.resendFull[fmt.Sprintf("vm-1%05d", machine)] = true
@@ -90,3 +92,36 @@
 		}
 	}
 }
+
+// Guards against commands that never reach a zone because the store refuses their write for its size each
+// time: after a refusal the next write is at most half as large, and after it was executed larger again.
+func TestRefusedCommandsAreDivided(t *testing.T) {
+	l := newTestLeader(settingsWithStore(config.StoreLimits{ValueBytes: 8 << 10, TxnOps: 8}))
+	now := time.Now()
+	l.startOnRelayedMachines(t, 1500, now)
+	state := l.relays.findOrAdd("node-1")
+	sizeOfWrite := func() (size int) {
+		for _, batch := range l.relays.commandParts("node-1", state, now) {
+			size = max(size, fake.JSONSize(wire.Marshal(batch)))
+		}
+		return size
+	}
+	whole := sizeOfWrite()
+	for range 4 {
+		commandsRelayed{node: "node-1", state: state, err: fmt.Errorf("%w: too large", kvstore.ErrRejected)}.apply(l)
+	}
+	divided := sizeOfWrite()
+	if divided == 0 || divided > whole/2 {
+		t.Errorf("value of %d bytes after four refusals, want at most half of %d", divided, whole)
+	}
+	commandsRelayed{node: "node-1", state: state, err: kvstore.ErrRefused}.apply(l)
+	if got := sizeOfWrite(); got != divided {
+		t.Errorf("value of %d bytes after an outage, want %d as before", got, divided)
+	}
+	for range 4 {
+		commandsRelayed{node: "node-1", state: state}.apply(l)
+	}
+	if got := sizeOfWrite(); got != whole {
+		t.Errorf("value of %d bytes after executed writes, want %d again", got, whole)
+	}
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -40,11 +40,14 @@
 		if p.resetIfIdle() {
 			continue
 		}
-		batches, forwarded := p.nextBatches(time.Now())
+		maxBatches := min(p.TxnOps, p.Store.WriteBudget(kvstore.PriorityUser))
+		batches, forwarded := p.nextBatches(maxBatches, time.Now())
 		if len(batches) == 0 {
 			continue
 		}
-		if err := p.writeBatches(ctx, batches); err != nil {
+		err := p.writeBatches(ctx, batches)
+		p.writeLimit.Observe(err)
+		if err != nil {
 			slog.Debug("heartbeats not relayed", "err", err)
 			continue
 		}
@@ -61,7 +64,7 @@
 	return err
 }
 
-// nextBatches packs as many of the pending heartbeats as one transaction carries. It returns the
+// nextBatches packs as many of the pending heartbeats as maxBatches and one transaction carry. It returns the
 // batches, which are the values for the up keys, and the packed heartbeats, which are to be marked as
 // forwarded once the batches are written. Heartbeats that do not fit remain pending for a later
 // transaction.
@@ -69,12 +72,12 @@
 // Heartbeats without changes come first: they are small, and the leader abandons a machine from which
 // it receives none. The others are ordered by the time at which a heartbeat of the same machine was last
 // forwarded, earliest first.
-func (p *Proxy) nextBatches(now time.Time) ([]HeartbeatBatch, []forwardedHeartbeat) {
+func (p *Proxy) nextBatches(maxBatches int, now time.Time) ([]HeartbeatBatch, []forwardedHeartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	unchanged, changed := p.selectPending(now)
 	slices.SortFunc(changed, compareLastForwarded)
-	packer := newBatchPacker(p.Node, p.ValueBytes, p.TxnOps)
+	packer := newBatchPacker(p.Node, p.ValueBytes, maxBatches, p.writeLimit.Bytes())
 	for _, next := range slices.Concat(unchanged, changed) {
 		packer.add(next, now)
 	}
@@ -163,12 +166,12 @@
 	forwarded       []forwardedHeartbeat // heartbeats packed into the batches
 }
 
-func newBatchPacker(node string, valueBytes, maxBatches int) *batchPacker {
+func newBatchPacker(node string, valueBytes, maxBatches, transactionBytes int) *batchPacker {
 	return &batchPacker{
 		node:            node,
 		valueBytes:      valueBytes,
 		maxBatches:      maxBatches,
-		transactionLeft: MaxWriteBytes,
+		transactionLeft: transactionBytes,
 	}
 }
 
--- a/internal/relay/proxy_test.go
+++ b/internal/relay/proxy_test.go
@@ -70,12 +70,12 @@
 			p, now := newTestProxy(), time.Unix(0, 0)
 			first := testHeartbeat(1, 1)
 			p.AnswerHeartbeat(&first, "shelf-0", 3)
-			_, forwarded := p.nextBatches(now)
+			_, forwarded := p.nextBatches(p.TxnOps, now)
 			p.markForwarded(forwarded)
 
 			second, leader := test.second(p)
 			p.AnswerHeartbeat(&second, leader, 3)
-			batches, _ := p.nextBatches(now.Add(resendAfter))
+			batches, _ := p.nextBatches(p.TxnOps, now.Add(resendAfter))
 			if len(batches) != 1 || len(batches[0].Full)+len(batches[0].Deltas) != 1 {
 				t.Fatalf("forwarded %+v, want one heartbeat", batches)
 			}
@@ -93,7 +93,7 @@
 	for sequence := range uint64(3) {
 		heartbeat := testHeartbeat(1, sequence+1)
 		p.AnswerHeartbeat(&heartbeat, "shelf-0", 3)
-		batches, forwarded := p.nextBatches(now)
+		batches, forwarded := p.nextBatches(p.TxnOps, now)
 		if sequence == 0 {
 			p.markForwarded(forwarded)
 			continue
@@ -115,11 +115,11 @@
 			t.Errorf("incarnation %d, sequence %d pending after a late heartbeat, want 2, 5", pending.Incarnation, pending.Sequence)
 		}
 	}
-	_, forwarded := p.nextBatches(time.Unix(0, 0))
+	_, forwarded := p.nextBatches(p.TxnOps, time.Unix(0, 0))
 	p.markForwarded(forwarded)
 	late := testHeartbeat(2, 4)
 	p.AnswerHeartbeat(&late, "shelf-0", 3)
-	if batches, _ := p.nextBatches(time.Unix(1, 0)); len(batches) > 0 {
+	if batches, _ := p.nextBatches(p.TxnOps, time.Unix(1, 0)); len(batches) > 0 {
 		t.Errorf("forwarded %+v, want nothing", batches)
 	}
 }
@@ -140,12 +140,12 @@
 	const quiet = 10
 	p, now := newTestProxy(), time.Unix(0, 0)
 	answerMachines(p, "quiet", quiet, 1, 1)
-	_, forwarded := p.nextBatches(now)
+	_, forwarded := p.nextBatches(p.TxnOps, now)
 	p.markForwarded(forwarded)
 	p.ValueBytes, p.TxnOps = 2<<10, 1
 	answerMachines(p, "quiet", quiet, 2, 1)
 	answerMachines(p, "new", 100, 1, 1)
-	batches, _ := p.nextBatches(now.Add(writeInterval))
+	batches, _ := p.nextBatches(p.TxnOps, now.Add(writeInterval))
 	if len(batches) != 1 || len(batches[0].Full) == 0 || len(batches[0].Full) == 100 {
 		t.Fatalf("forwarded %+v, want some of the machines with changes in full", batches)
 	}
@@ -164,7 +164,7 @@
 	for write := range uint64(writes) {
 		answerMachines(p, "vm", machines, write+1, write+1)
 		now = now.Add(writeInterval)
-		_, forwarded := p.nextBatches(now)
+		_, forwarded := p.nextBatches(p.TxnOps, now)
 		if len(forwarded) > machines/4 {
 			t.Fatalf("%d of %d machines fit in one write, want at most a quarter so that they take turns", len(forwarded), machines)
 		}
@@ -289,6 +289,42 @@
 	})
 }
 
+// Guards against a zone that is lost although the store would take smaller writes: it takes smaller values
+// than the settings say, or this node's share of the rate of changes is below a write that the limits on
+// sizes allow. All heartbeats reach the store all the same.
+func TestRefusedHeartbeatsAreDivided(t *testing.T) {
+	for name, test := range map[string]struct {
+		machines int
+		accepted fake.StoreLimits
+		writeRPS float64 // of the proxy
+	}{
+		"smaller values":  {100, fake.StoreLimits{ValueBytes: 4 << 10, TxnOps: 100, WriteRPS: 1000}, 1000},
+		"fewer mutations": {400, fake.StoreLimits{ValueBytes: 8 << 10, TxnOps: 3, WriteRPS: 1000}, 1000},
+		"low rate":        {400, fake.StoreLimits{ValueBytes: 8 << 10, TxnOps: 100, WriteRPS: 1000}, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				t.Cleanup(func() { time.Sleep(time.Minute) })
+				network, store := fake.NewNetwork(t.Context()), fake.NewStore()
+				store.SetLimits(test.accepted)
+				go network.Serve(t.Context(), storeAddr, store.Handle)
+				synctest.Wait()
+				p := &Proxy{Node: "shelf-1", ValueBytes: 8 << 10, TxnOps: 100}
+				p.Store, p.Dial = kvstore.New(network.Dial("shelf-1"), storeAddr, 1000, test.writeRPS), network.Dial("shelf-1")
+				go p.Run(t.Context())
+				answerMachines(p, "vm", test.machines, 1, 1)
+				time.Sleep(idleTimeout - writeInterval)
+				p.mu.Lock()
+				forwarded := len(p.forwarded)
+				p.mu.Unlock()
+				if forwarded != test.machines {
+					t.Errorf("%d of %d machines forwarded", forwarded, test.machines)
+				}
+			})
+		})
+	}
+}
+
 // readHeartbeats returns the batch of heartbeats that the proxy shelf-1 has last written.
 func readHeartbeats(t *testing.T, store *kvstore.Client) HeartbeatBatch {
 	t.Helper()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,6 +43,8 @@
 	forwarded    map[string]forwardedHeartbeat // heartbeat last forwarded to the leader, by machine
 	addrs        map[string]string             // address of the agent, by machine
 	batches      map[string]CommandBatch       // commands as last read, by key
+
+	writeLimit WriteLimit // used only by forwardHeartbeats
 }
 
 // idleTimeout is the period after the last heartbeat of an agent in which a proxy remains active. It is
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -115,7 +115,7 @@
 			proxy.AnswerHeartbeat(&heartbeat, "shelf-0", 3)
 			reported[heartbeat.Machine] = heartbeat
 		}
-		batches, forwarded := proxy.nextBatches(now)
+		batches, forwarded := proxy.nextBatches(proxy.TxnOps, now)
 		leader.applyWrite(t, batches, now)
 		proxy.markForwarded(forwarded)
 		if now.Sub(start) < 15*time.Second {
@@ -147,7 +147,7 @@
 		heartbeat := last
 		heartbeat.Sequence += uint64(round) + 1
 		proxy.AnswerHeartbeat(&heartbeat, "shelf-0", 3)
-		batches, forwarded := proxy.nextBatches(now)
+		batches, forwarded := proxy.nextBatches(proxy.TxnOps, now)
 		for _, batch := range batches {
 			for _, full := range batch.Full {
 				if full.Machine == last.Machine {
@@ -179,7 +179,7 @@
 				}
 				forwardAll := func() (heartbeatsPerWrite []int) {
 					for len(proxy.pending) > 0 {
-						batches, forwarded := proxy.nextBatches(time.Unix(0, 0))
+						batches, forwarded := proxy.nextBatches(proxy.TxnOps, time.Unix(0, 0))
 						checkWriteInJSON(t, batches, test.valueBytes, test.txnOps, transactionBytes)
 						proxy.markForwarded(forwarded)
 						heartbeatsPerWrite = append(heartbeatsPerWrite, len(forwarded))
