Refuse a description at once that the store cannot take

What callers would see: a submission with long names of unusual characters is answered 503 each time it is sent, and a slightly shorter one is accepted but its cancellation is answered 503 for ever.

Cause: names are limited in bytes and the store counts JSON; the handler took the store's 400 for a passing failure, and nothing left room for the fields that a cancellation adds to the record.

Why this works: Record.Fits measures the record in JSON with the largest values of those fields, before anything is sent. What does not fit is refused like any invalid field, with 200 if the job exists already.

Tests that failed before: TestSubmitTooLongForTheStore ("HTTP status 503 ... want 400 with a reason", "2 transactions refused by the store for their size"), TestSubmittedJobCanBeCancelled ("HTTP status 503, want 200"). The store of the api tests enforces its limits now.

wire.JSONSize counts a character beyond ASCII as one escape, no longer as one for each of its bytes: no form is longer.

--- a/internal/api/fixture_test.go
+++ b/internal/api/fixture_test.go
@@ -36,7 +36,10 @@
 	cancelledByReads    []string   // job IDs passed to Config.OnCancellationsRead
 }
 
-const storeAddr = "store"
+const (
+	storeAddr  = "store"
+	valueBytes = 2 << 10 // largest value that the key-value store accepts, in bytes of JSON
+)
 
 // inBubble runs a test with a fixture of its own in a bubble of testing/synctest, in simulated time.
 func inBubble(t *testing.T, test func(t *testing.T, f *fixture)) {
@@ -46,6 +49,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, store: fake.NewStore()}
+	f.store.SetLimits(fake.StoreLimits{ValueBytes: valueBytes, TxnOps: 4, WriteRPS: 1000})
 	network := fake.NewNetwork(t.Context())
 	go network.Serve(t.Context(), storeAddr, f.store.Handle)
 	synctest.Wait()
@@ -56,6 +60,7 @@
 		StoreRPS:      rps,
 		Teams:         []config.Team{{Name: "vision", MaxCPUs: 32, MaxGPUs: 2}},
 		TasksPerChunk: 10,
+		ValueBytes:    valueBytes,
 		MachineTypes: func() []cloud.Type {
 			if f.catalogUnknown.Load() {
 				return nil
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -23,6 +23,7 @@
 	StoreRPS      float64 // key-value store's rate limit for the whole cluster, in requests per second
 	Teams         []config.Team
 	TasksPerChunk int // chunk size of new jobs, in tasks
+	ValueBytes    int // largest value that the key-value store accepts, in bytes of JSON
 
 	// MachineTypes returns the cloud's catalog of machine types, or nil until it has been loaded.
 	MachineTypes func() []cloud.Type
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -30,7 +30,11 @@
 	if err != nil {
 		return h.okIfExists(ctx, id, err)
 	}
-	err = h.createRecord(ctx, spec)
+	record := jobstore.Record{Spec: spec, SubmittedMS: time.Now().UnixMilli(), ChunkSize: h.cfg.TasksPerChunk}
+	if !record.Fits(h.cfg.ValueBytes) {
+		return h.okIfExists(ctx, id, &validationError{wire.StatusBadRequest, "the description is too long"})
+	}
+	err = h.createRecord(ctx, &record)
 	if err == nil {
 		h.cfg.OnJobChanged(id)
 		return respondCreated(jobSummary{id, StatusPending})
@@ -44,14 +48,10 @@
 
 // createRecord writes the record of a new job. The error is a *kvstore.ConflictError if the job exists,
 // unfinished or ended.
-func (h *Handler) createRecord(ctx context.Context, spec *job.Spec) error {
-	record := jobstore.Record{
-		Spec:        spec,
-		SubmittedMS: time.Now().UnixMilli(),
-		ChunkSize:   h.cfg.TasksPerChunk,
-	}
-	absent := []kvstore.Compare{{Key: jobstore.JobKey(spec.ID)}, {Key: jobstore.EndKey(spec.ID)}}
-	put := []kvstore.Mutation{{Put: jobstore.JobKey(spec.ID), Value: wire.Marshal(record)}}
+func (h *Handler) createRecord(ctx context.Context, record *jobstore.Record) error {
+	id := record.Spec.ID
+	absent := []kvstore.Compare{{Key: jobstore.JobKey(id)}, {Key: jobstore.EndKey(id)}}
+	put := []kvstore.Mutation{{Put: jobstore.JobKey(id), Value: wire.Marshal(record)}}
 	_, err := h.cfg.Store.Txn(ctx, absent, put, kvstore.PriorityUser)
 	return err
 }
--- a/internal/api/submit_test.go
+++ b/internal/api/submit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 
 	"tulipshelf/internal/fake"
@@ -81,3 +82,44 @@
 		}
 	})
 }
+
+// Guards against submissions that are repeated in vain: The key-value store counts the JSON form of a record,
+// in which unusual characters take several bytes, and refuses a record over its limit each time. Such a
+// submission is refused at once. The longest usual description is accepted, and can be cancelled, which
+// makes its record longer.
+func TestSubmitTooLongForTheStore(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		tooLong := submission("wk-000001")
+		tooLong["lane"], tooLong["bundle"] = strings.Repeat("\x01", 200), strings.Repeat("\x02", 200)
+		f.expectRefused(f.submit(tooLong), 400)
+		for i, character := range []string{"x", "é"} {
+			id := []string{"wk-000002", "wk-000003"}[i]
+			longest := submission(id)
+			name := strings.Repeat(character, 200/len(character))
+			longest["lane"], longest["bundle"], longest["builds"], longest["depot"] = name, name, []string{"small", "large"}, "east"
+			f.expect(f.submit(longest), 201, StatusPending)
+			f.expect(f.cancel(id), 200, StatusCancelled)
+		}
+		f.mustSubmit("wk-000001")
+		f.expect(f.submit(tooLong), 200, StatusPending) // the job exists, so it is not refused
+		if refused := f.store.Refusals(); refused.TooLarge != 0 {
+			t.Errorf("%d transactions refused by the store for their size, want 0", refused.TooLarge)
+		}
+	})
+}
+
+// Guards against a job that can be submitted but not cancelled: The cancellation adds fields to the record,
+// so a description just below the limit leaves room for them or is refused.
+func TestSubmittedJobCanBeCancelled(t *testing.T) {
+	for unusual := range 100 {
+		inBubble(t, func(_ *testing.T, f *fixture) {
+			job := submission("wk-000001")
+			job["lane"], job["bundle"] = strings.Repeat("\x01", 200), strings.Repeat("x", 200-unusual)+strings.Repeat("\x02", unusual)
+			if response := f.submit(job); response.Status == 201 {
+				f.expect(f.cancel("wk-000001"), 200, StatusCancelled)
+			} else {
+				f.expectRefused(response, 400)
+			}
+		})
+	}
+}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -99,6 +99,7 @@
 		StoreRPS:              n.settings.Store.RPS,
 		Teams:                 n.settings.Teams,
 		TasksPerChunk:         jobstore.TasksPerChunk(n.settings.Store.ValueBytes),
+		ValueBytes:            n.settings.Store.ValueBytes,
 		MachineTypes:          n.machineTypes,
 		OnJobChanged:          n.queueChanged,
 		OnJobCancelled:        func(id string) { n.onCancelled(n.cancelled.Add(id)) },
--- a/internal/wire/json_size.go
+++ b/internal/wire/json_size.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"math"
+	"unicode/utf8"
 )
 
 // JSONSize returns the size of the JSON form of an encoded value, in bytes. The form has no white space.
@@ -114,14 +115,16 @@
 	}
 }
 
-// quotedSize returns the size of a text in JSON. A character that may be escaped counts as one escape of
-// the longest form for each of its bytes.
+// quotedSize returns the size of a text in JSON, with every character escaped that an encoder may escape.
 func quotedSize(text []byte) int {
 	size := len(`""`)
 	for _, c := range text {
-		if plainBytes[c] {
+		switch {
+		case plainBytes[c]:
 			size++
-		} else {
+		case c >= utf8.RuneSelf: // at least two bytes, as one escape, or four, as two of them
+			size += len(`\u0000`) / 2
+		default:
 			size += len(`\u0000`)
 		}
 	}
