Take a rental refused as malformed for answered

What callers would see: after the cloud has refused one rental with 400, for example because it has withdrawn the machine type, the leader rents nothing any more, of any type, and jobs wait.

Cause: every answer but 200 and "no capacity" left the rental pending, to be sent again under its name; while one is pending, no other is planned. A malformed request is refused each time.

Why this works: status 400 says that the request had no effect and that the same request never will have one.

Test that failed before: TestRefusedRentalDoesNotStopScaleOut, "requests map[r-1-1:3 r-1-2:1], want one for each rental", "unanswered rentals map[r-1-1:], want none".

--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -48,6 +48,13 @@
 	return fmt.Sprintf("cloud: %s %s: status %d", e.Method, e.Target, e.Status)
 }
 
+// IsMalformed reports whether an error means that the cloud has refused a request as malformed. The request has
+// had no effect, and would be refused again.
+func IsMalformed(err error) bool {
+	var refused StatusError
+	return errors.As(err, &refused) && refused.Status == wire.StatusBadRequest
+}
+
 // Client makes requests to the cloud. It is safe for concurrent use. Methods with a context wait, for
 // each of their requests, until the rate allows it, and then up to 4 s for the response. Their errors
 // are ErrNoCapacity or a StatusError, or wrap the error of the rate limiter, of wire.Client.Do or of
@@ -88,9 +95,9 @@
 }
 
 // Rent requests machines and returns the names of those rented, which may be fewer than
-// rental.Count. After an error other than ErrNoCapacity the rental may or may not have been
-// executed. Only repeating the same request settles this: it returns the machines of an executed
-// rental, and otherwise executes the rental.
+// rental.Count. After an error other than ErrNoCapacity and those for which IsMalformed returns true the
+// rental may or may not have been executed. Only repeating the same request settles this: it returns the
+// machines of an executed rental, and otherwise executes the rental.
 func (c *Client) Rent(ctx context.Context, rental Rental) ([]string, error) {
 	var resp rentResponse
 	err := c.do(ctx, wire.MethodPost, "/rentals", wire.Marshal(rental), &resp)
--- a/internal/cloud/client_test.go
+++ b/internal/cloud/client_test.go
@@ -65,6 +65,9 @@
 				if errors.Is(err, cloud.ErrNoCapacity) != test.noCapacity {
 					t.Errorf("error %v: is ErrNoCapacity %v, want %v", err, !test.noCapacity, test.noCapacity)
 				}
+				if malformed := test.status == 400; cloud.IsMalformed(err) != malformed {
+					t.Errorf("error %v: IsMalformed %v, want %v", err, !malformed, malformed)
+				}
 				var status cloud.StatusError
 				if errors.As(err, &status); status.Status != test.status {
 					t.Errorf("StatusError with status %d in error %v, want %d", status.Status, err, test.status)
--- a/internal/leader/scaler_cloud.go
+++ b/internal/leader/scaler_cloud.go
@@ -86,11 +86,19 @@
 
 // rentPending requests the pending rentals. A rental without a definite response stays pending under the
 // same name, so that no machine is rented twice. It returns false if any rental stays pending.
+//
+// A rental that the cloud refuses as malformed counts as answered without machines. Guards against a leader
+// that rents nothing any more, as nothing else is rented while a rental is unanswered
+// (docs/incidents/refused-rental-repeated.md).
 func (c *cloudSession) rentPending(ctx context.Context) bool {
 	var unanswered []cloud.Rental
 	for _, rental := range c.pending {
 		names, err := c.Cloud.Rent(ctx, rental)
-		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
+		switch {
+		case err == nil, errors.Is(err, cloud.ErrNoCapacity):
+		case cloud.IsMalformed(err):
+			slog.Error("rental refused by the cloud as malformed", "request", rental.Name, "type", rental.Type, "zone", rental.Zone, "err", err)
+		default:
 			slog.Debug("rental without a definite response; retrying", "request", rental.Name, "err", err)
 			unanswered = append(unanswered, rental)
 			continue
--- /dev/null
+++ b/internal/leader/scaler_cloud_test.go
@@ -0,0 +1,55 @@
+package leader
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"tulipshelf/internal/cloud"
+	"tulipshelf/internal/leadership"
+	"tulipshelf/internal/wire"
+)
+
+// Guards against a leader that rents nothing any more: the cloud refuses a rental as malformed, for example
+// because it has withdrawn the machine type since the leader read the catalog. The rental is not sent
+// again, its pool is left alone for a while, and other rentals are requested meanwhile.
+func TestRefusedRentalDoesNotStopScaleOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWriterTest()
+		defer w.end()
+		requests := map[string]int{} // by name of the rental
+		go w.network.Serve(w.ctx, cloudAddr, func(_ context.Context, req *wire.Request) wire.Response {
+			var rental cloud.Rental
+			if wire.Unmarshal(req.Body, &rental) != nil || rental.Type == "withdrawn" {
+				requests[rental.Name]++
+				return wire.Response{Status: wire.StatusBadRequest}
+			}
+			requests[rental.Name]++
+			return wire.Response{Status: wire.StatusOK, Body: wire.Marshal(map[string]any{"shelves": []string{"vm-000001"}})}
+		})
+		synctest.Wait()
+		l := New(w.ctx, writerTestConfig(w.client, w.network), &leadership.Term{})
+		l.topology.addTypes([]cloud.Type{{Name: "withdrawn", CPUs: 4, Zones: []string{"a"}}, {Name: "box", CPUs: 4, Zones: []string{"a"}}})
+		refused := cloud.Rental{Name: "r-1-1", Type: "withdrawn", Zone: "a", Count: 1}
+		granted := cloud.Rental{Name: "r-1-2", Type: "box", Zone: "a", Count: 1}
+		l.scaler.unansweredRentals = map[string]string{refused.Name: "", granted.Name: ""}
+		session := &cloudSession{environment: l.environment, pending: []cloud.Rental{refused, granted}}
+		for range 3 {
+			session.rentPending(w.ctx)
+			l.applyQueued(w.ctx)
+		}
+		if requests[refused.Name] != 1 || requests[granted.Name] != 1 {
+			t.Errorf("requests %v, want one for each rental", requests)
+		}
+		if len(l.scaler.unansweredRentals) != 0 {
+			t.Errorf("unanswered rentals %v, want none: while there are any, nothing is rented", l.scaler.unansweredRentals)
+		}
+		if l.machines.registry.Machine("vm-000001") == nil {
+			t.Error("machine of the other rental not added")
+		}
+		withdrawn, box := pool{machineType: 0}, pool{machineType: 1}
+		if l.scaler.refusedUntil[withdrawn].IsZero() || !l.scaler.refusedUntil[box].IsZero() {
+			t.Errorf("backoffs %v, want one of the withdrawn type alone", l.scaler.refusedUntil)
+		}
+	})
+}
--- a/internal/leader/writer_test.go
+++ b/internal/leader/writer_test.go
@@ -17,7 +17,10 @@
 	"tulipshelf/internal/wire"
 )
 
-const storeAddr = "10.2.0.1:2379"
+const (
+	storeAddr = "10.2.0.1:2379"
+	cloudAddr = "10.2.0.2:8443"
+)
 
 // writerTest is a key-value store with a candidate of the node node-0, in simulated time.
 type writerTest struct {
@@ -130,7 +133,7 @@
 		Resources: config.Resources{MemBytes: 1 << 27, MaxSockets: 1000}}
 	dial := network.Dial("10.0.0.1:8080")
 	return Config{Settings: settings, Operator: config.DefaultOperator(), Store: store, Dial: dial,
-		Cloud: cloud.New(dial, "10.2.0.2:8443", settings.Cloud.RPS), Node: fakeNode{types: []cloud.Type{{Name: "box", CPUs: 4, Zones: []string{"a"}}}}}
+		Cloud: cloud.New(dial, cloudAddr, settings.Cloud.RPS), Node: fakeNode{types: []cloud.Type{{Name: "box", CPUs: 4, Zones: []string{"a"}}}}}
 }
 
 // Guards against a task that is to be stopped but whose lost start command takes effect later. A start
