Bound the deletions of one transaction by its size

What operators would see: records of ended jobs stay in the key-value store for good, and the leader sends the same large transaction again and again, if the settings allow some 2,000 changes a transaction or more.

Cause: deletions were bounded by their number and by the rate, not by the size of the transaction. After a refusal the same deletions, or as many others, were sent again.

Test that failed before: TestGarbageDeletionsWithinTransactionLimit, "6000 of 6000 records left, want none".

--- a/internal/leader/writer.go
+++ b/internal/leader/writer.go
@@ -188,7 +188,8 @@
 // deleteGarbage starts a transaction with as many of the queued deletions as the limits of the key-value
 // store allow.
 func (w *recordWriter) deleteGarbage(fence kvstore.Compare) {
-	count := min(len(w.garbage), w.Settings.Store.TxnOps, w.Store.WriteBudget(kvstore.PriorityBackground))
+	limit := min(len(w.garbage), w.Settings.Store.TxnOps, w.Store.WriteBudget(kvstore.PriorityBackground))
+	count := countFitting(fence, w.garbage[:limit])
 	if count == 0 {
 		return
 	}
@@ -201,6 +202,18 @@
 	})
 }
 
+// countFitting returns how many of the mutations, which delete keys, fit into one transaction with a compare.
+func countFitting(compare kvstore.Compare, deletions []kvstore.Mutation) int {
+	size := kvstore.EmptyTransactionBytes + compare.Size()
+	for i := range deletions {
+		size += deletions[i].Size(0)
+		if size > kvstore.UsableTransactionBytes {
+			return i
+		}
+	}
+	return len(deletions)
+}
+
 // garbageDeleted reports the outcome of a transaction of deletions. After an error they are queued
 // again.
 type garbageDeleted struct {
--- a/internal/leader/writer_test.go
+++ b/internal/leader/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -167,3 +168,36 @@
 		t.Error("need for a new term not checked exactly once per advanceCheckInterval")
 	}
 }
+
+// Guards against records of ended jobs that are never deleted: with a high limit on the number of changes,
+// the deletions of one transaction exceed the key-value store's limit on its size, and are refused whenever
+// they are sent.
+func TestGarbageDeletionsWithinTransactionLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWriterTest()
+		defer w.end()
+		const chunks = 6000
+		w.client.SetRates(1e6, 1e6)
+		cfg := writerTestConfig(w.client, w.network)
+		cfg.Settings.Store.TxnOps = 10_000
+		ended := make(chan error, 1)
+		go w.candidate.Run(w.ctx, func(ctx context.Context, term *leadership.Term) {
+			l := New(ctx, cfg, term)
+			for chunk := range chunks {
+				key := fmt.Sprintf("%s/%06d", jobstore.JobKey("wk-000001"), chunk)
+				w.store.Put(key, wire.Marshal(map[string]int{}))
+				l.writer.addGarbage(kvstore.Mutation{Delete: key})
+			}
+			ended <- l.Run()
+		})
+		time.Sleep(10 * time.Second)
+		if left := len(w.store.Keys(jobstore.JobPrefix)); left != 0 {
+			t.Errorf("%d of %d records left, want none", left, chunks)
+		}
+		if refused := w.store.Refusals(); refused.TooLarge != 0 {
+			t.Errorf("%d transactions refused for their size, want 0", refused.TooLarge)
+		}
+		w.cancel()
+		<-ended
+	})
+}
