--- a/internal/leader/writer.go
+++ b/internal/leader/writer.go
@@ -5,11 +5,9 @@
 	"log/slog"
 	"time"
 
-	"tulipshelf/internal/agent"
 	"tulipshelf/internal/clock"
 	"tulipshelf/internal/jobstore"
 	"tulipshelf/internal/kvstore"
-	"tulipshelf/internal/leadership"
 )
 
 // recordWriter makes the leader's decisions durable, one transaction at a time, each conditional on the
@@ -30,12 +28,6 @@
 	return &recordWriter{environment: env, jobs: jobs, machines: machines}
 }
 
-// addGarbage queues deletions of the remaining chunks of ended jobs. They are executed when there is
-// nothing else to write.
-func (w *recordWriter) addGarbage(deletions ...kvstore.Mutation) {
-	w.garbage = append(w.garbage, deletions...)
-}
-
 // writeNext starts the next transaction, or an advance of the term if one is needed. It does nothing
 // while the writer is busy or the term is not valid.
 func (w *recordWriter) writeNext(now time.Time) {
@@ -184,151 +176,3 @@
 		}
 	}
 }
-
-// deleteGarbage starts a transaction with as many of the queued deletions as the limits of the key-value
-// store allow.
-func (w *recordWriter) deleteGarbage(fence kvstore.Compare) {
-	limit := min(len(w.garbage), w.Settings.Store.TxnOps, w.Store.WriteBudget(kvstore.PriorityBackground))
-	count := countFitting(fence, w.garbage[:limit])
-	if count == 0 {
-		return
-	}
-	deletions := w.garbage[:count:count]
-	w.garbage = w.garbage[count:]
-	w.requestPending = true
-	w.loop.start(func() {
-		_, err := w.Store.Txn(w.loop.ctx, []kvstore.Compare{fence}, deletions, kvstore.PriorityBackground)
-		w.loop.submit(garbageDeleted{deletions, err})
-	})
-}
-
-// countFitting returns how many of the mutations, which delete keys, fit into one transaction with a compare.
-func countFitting(compare kvstore.Compare, deletions []kvstore.Mutation) int {
-	size := kvstore.EmptyTransactionBytes + compare.Size()
-	for i := range deletions {
-		size += deletions[i].Size(0)
-		if size > kvstore.UsableTransactionBytes {
-			return i
-		}
-	}
-	return len(deletions)
-}
-
-// garbageDeleted reports the outcome of a transaction of deletions. After an error they are queued
-// again.
-type garbageDeleted struct {
-	deletions []kvstore.Mutation
-	err       error
-}
-
-func (e garbageDeleted) apply(l *Leader) {
-	l.writer.requestPending = false
-	if e.err != nil {
-		l.writer.addGarbage(e.deletions...)
-	}
-}
-
-// Limits on advancing the term.
-const (
-	// advanceInterval is the minimum time between two advances, and between the election and the first.
-	advanceInterval = 10 * time.Second
-
-	// advanceCheckInterval is the minimum time between two checks of whether an advance is needed.
-	advanceCheckInterval = time.Second
-
-	// maxExitedTasks is the largest number of exited tasks that an agent may report without the term
-	// being advanced. Advancing the term raises the agent's fencing token. The agent is told to forget a
-	// task only once this token is above the term of the task's attempt.
-	maxExitedTasks = 40
-
-	// lostStartHeartbeats is a number of consecutive heartbeats. If an attempt that is being stopped is
-	// missing from this many, its start counts as lost.
-	lostStartHeartbeats = 2
-)
-
-// needsNewTerm reports whether the term needs to be advanced: either to prove that lost starts can no
-// longer take effect, or to let agents forget exited tasks. It returns false, without a check, if the
-// election or the last advance was less than advanceInterval ago, or the last check less than
-// advanceCheckInterval ago.
-func (w *recordWriter) needsNewTerm(now time.Time) bool {
-	tooSoon := now.Sub(w.advancedAt) < advanceInterval || now.Sub(w.startedAt) < advanceInterval
-	if tooSoon || now.Sub(w.advanceCheckedAt) < advanceCheckInterval {
-		return false
-	}
-	w.advanceCheckedAt = now
-	needed := false
-	w.machines.registry.Each(func(machine *agent.Machine) {
-		needed = needed || w.machineNeedsNewTerm(machine)
-	})
-	return needed
-}
-
-// machineNeedsNewTerm reports whether a machine reports too many exited tasks, or has a lost start of
-// the current term.
-func (w *recordWriter) machineNeedsNewTerm(machine *agent.Machine) bool {
-	// A machine whose heartbeats are relayed is sent no command to forget a task, whatever its token.
-	if machine.RelayedBy == "" && machine.ExitedTasks() > maxExitedTasks {
-		return true
-	}
-	for _, assignment := range machine.Assignments {
-		startLost := assignment.Stopping && assignment.MissedHeartbeats >= lostStartHeartbeats
-		if startLost && assignment.ID().Term() == w.term.Number() {
-			return true
-		}
-	}
-	return false
-}
-
-// advanceTerm starts an advance of the term. The writer is busy until it has ended.
-func (w *recordWriter) advanceTerm(now time.Time) {
-	w.advancedAt = now
-	w.requestPending = true
-	w.loop.start(func() {
-		if err := w.term.Advance(w.loop.ctx); err != nil {
-			slog.Info("term not advanced", "err", err)
-		} else {
-			slog.Info("term advanced", "term", w.term.Number())
-		}
-		w.loop.submit(termAdvanced{})
-	})
-}
-
-// adoptTerm reads whether the term that a compare has shown is the leader's own, issued to it by an advance
-// that was not answered. The writer is busy until that is known. A failed read is repeated: if it fails
-// until the lease ends, the leader ends with it.
-//
-// Guards against leaders that end although no other was elected (docs/incidents/unanswered-advance.md).
-func (w *recordWriter) adoptTerm() {
-	w.requestPending = true
-	w.loop.start(func() {
-		err := w.term.AdoptLatest(w.loop.ctx)
-		for err != nil && !errors.Is(err, leadership.ErrDeposed) {
-			slog.Debug("term not read after a refused write", "err", err)
-			if !clock.Sleep(w.loop.ctx, writeRetryInterval) {
-				return
-			}
-			err = w.term.AdoptLatest(w.loop.ctx)
-		}
-		w.loop.submit(termAdopted{err})
-	})
-}
-
-// termAdopted ends adoptTerm. The error, if any, wraps leadership.ErrDeposed.
-type termAdopted struct{ err error }
-
-func (e termAdopted) apply(l *Leader) {
-	if e.err != nil {
-		l.stop(errTermSuperseded)
-		return
-	}
-	slog.Info("term advanced by an unanswered request", "term", l.term.Number())
-	termAdvanced{}.apply(l)
-}
-
-// termAdvanced ends an advance of the term, successful or not.
-type termAdvanced struct{}
-
-func (termAdvanced) apply(l *Leader) {
-	l.writer.requestPending = false
-	l.attempts.renumberUnrecorded(time.Now())
-}
