--- a/internal/fake/agent.go
+++ b/internal/fake/agent.go
@@ -288,6 +288,7 @@
 // from a leader of an earlier term.
 func (a *Agent) acceptResponse(body []byte, sentAt time.Time) {
 	var resp agent.HeartbeatResponse
+	a.checkSize(body)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if wire.Unmarshal(body, &resp) != nil || resp.FencingToken < a.fencingToken {
@@ -303,6 +304,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var commands agent.CommandRequest
+	a.checkSize(req.Body)
 	if a.faults.Hung || a.faults.DropIncoming {
 		return wire.Response{Status: statusDropConnection}
 	}
@@ -320,6 +322,13 @@
 	return wire.Response{Status: wire.StatusOK, Body: a.nextHeartbeat()}
 }
 
+// checkSize reports a message to the agent that is larger than the protocol allows.
+func (a *Agent) checkSize(body []byte) {
+	if exceedsInJSON(body, maxBodyBytes) {
+		a.cloud.invariants.messageTooLarge(a.Name, JSONSize(body))
+	}
+}
+
 // signalChange makes the agent send its next heartbeat after changeReportDelay, to report a change of its
 // tasks.
 func (a *Agent) signalChange() {
--- a/internal/fake/invariants.go
+++ b/internal/fake/invariants.go
@@ -214,6 +214,13 @@
 	c.completed[task] = c.completed[task] || completed
 }
 
+// messageTooLarge records that a message to a machine has more bytes of JSON than the protocol allows.
+func (c *InvariantChecker) messageTooLarge(machine string, bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addViolation("message to %s has %d bytes of JSON, want at most %d", machine, bytes, maxBodyBytes)
+}
+
 // addViolation records a violation. The caller holds mu.
 func (c *InvariantChecker) addViolation(format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -42,7 +42,7 @@
 	random            *rand.Rand   // selects the responses that LoseOneResponseIn loses
 	held              []func()     // functions that apply the transactions held back by HoldNext
 	dueInOutage       [][]byte     // bodies of late transactions that came due in an outage, oldest first
-	limits            *StoreLimits // nil: only maxTransactionBytes
+	limits            *StoreLimits // nil: only maxBodyBytes
 	writes            *rate.Limiter
 	refusals          StoreRefusals
 	counts            storeCounts
--- a/internal/fake/store_faults.go
+++ b/internal/fake/store_faults.go
@@ -166,7 +166,7 @@
 }
 
 // SetLimits makes the store enforce limits from now on. Without a call the store enforces only
-// maxTransactionBytes.
+// maxBodyBytes.
 func (s *Store) SetLimits(limits StoreLimits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -174,7 +174,7 @@
 	s.writes = rate.NewLimiter(rate.Limit(limits.WriteRPS), int(limits.WriteRPS))
 }
 
-// StoreRefusals counts the transactions that exceeded a limit: TooLarge those refused for maxTransactionBytes,
+// StoreRefusals counts the transactions that exceeded a limit: TooLarge those refused for maxBodyBytes,
 // ValueBytes or TxnOps, and TooMany those for WriteRPS.
 type StoreRefusals struct{ TooLarge, TooMany int }
 
@@ -185,8 +185,9 @@
 	return s.refusals
 }
 
-// maxTransactionBytes is the protocol's limit on the size of a transaction in its JSON form, in bytes.
-const maxTransactionBytes = 64 << 10
+// maxBodyBytes is the protocol's limit on the size of a transaction, of any other request body and of a response
+// to a worker agent, in bytes of JSON.
+const maxBodyBytes = 64 << 10
 
 // checkLimits returns the response to a transaction that exceeds the limits, and a response with status 0
 // if it does not. The caller holds mu.
@@ -200,7 +201,7 @@
 	if wire.Unmarshal(body, &transaction) != nil {
 		return wire.Response{}
 	}
-	tooLarge := exceedsInJSON(body, maxTransactionBytes)
+	tooLarge := exceedsInJSON(body, maxBodyBytes)
 	if s.limits != nil {
 		maxCompares := 4 * s.limits.TxnOps
 		tooLarge = tooLarge || len(transaction.Mutations) > s.limits.TxnOps || len(transaction.Compares) > maxCompares
