--- a/review/_world2/world.go
+++ b/review/_world2/world.go
@@ -467,13 +467,7 @@
 func (w *world) onMachines(id string) int {
 	w.check.mu.Lock()
 	defer w.check.mu.Unlock()
-	n := 0
-	for t, on := range w.check.on {
-		if jobID(t) == id {
-			n += len(on)
-		}
-	}
-	return n
+	return w.runningLocked(id)
 }
 
 // machineOf returns a machine that holds a task of a job; nil if there is none.
@@ -489,3 +483,14 @@
 	}
 	return nil
 }
+
+// runningLocked is onMachines for a caller that holds the lock of the checker.
+func (w *world) runningLocked(id string) int {
+	n := 0
+	for t, on := range w.check.on {
+		if jobID(t) == id {
+			n += len(on)
+		}
+	}
+	return n
+}
