--- a/review/_world2/cloud.go
+++ b/review/_world2/cloud.go
@@ -21,26 +21,23 @@
 }
 
 type cloudServer struct {
-	w           *world
-	mu          sync.Mutex
-	mt          machineType
-	capacity    map[string]int // ordinary machines by zone
-	machines    map[string]*worker
-	hires       map[string][]string
-	next        int
-	lag         time.Duration
-	down        bool
-	boot        time.Duration // boot time of machines that are rented; 0: the usual one
-	onRent      func(*worker)
-	holdReturns bool // returns get no answer and are carried out on release
-	held        []func()
-	returned    map[string]time.Time
-	addr        string
+	w        *world
+	mu       sync.Mutex
+	mt       machineType
+	capacity map[string]int // ordinary machines by zone
+	machines map[string]*worker
+	hires    map[string][]string
+	next     int
+	lag      time.Duration
+	down     bool
+	boot     time.Duration // boot time of machines that are rented; 0: the usual one
+	onRent   func(*worker)
+	onReturn func(node string, names []string)
+	returned map[string]time.Time
 }
 
 func newCloud(w *world, mt machineType, capacity map[string]int, lag time.Duration) *cloudServer {
 	c := &cloudServer{w: w, mt: mt, capacity: capacity, machines: map[string]*worker{}, hires: map[string][]string{}, lag: lag, next: 1, returned: map[string]time.Time{}}
-	c.addr, _ = serve(c)
 	return c
 }
 
@@ -88,7 +85,12 @@
 // rentals returns the number of rentals that were answered with machines.
 func (c *cloudServer) rentals() int { c.mu.Lock(); defer c.mu.Unlock(); return len(c.hires) }
 
-func (c *cloudServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// handler answers the requests of one controller.
+func (c *cloudServer) handler(node string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { c.serve(w, r, node) })
+}
+
+func (c *cloudServer) serve(w http.ResponseWriter, r *http.Request, node string) {
 	body := readBody(r)
 	time.Sleep(100 * time.Millisecond)
 	c.mu.Lock()
@@ -119,11 +121,8 @@
 			reply(w, 400, nil)
 			return
 		}
-		if c.holdReturns {
-			c.held = append(c.held, func() { c.giveBack(q.Shelves) })
-			c.mu.Unlock()
-			drop(w, r)
-			return
+		if c.onReturn != nil {
+			c.onReturn(node, q.Shelves)
 		}
 		c.giveBack(q.Shelves)
 		c.mu.Unlock()
--- a/review/_world2/world.go
+++ b/review/_world2/world.go
@@ -152,6 +152,7 @@
 	rndMu                  sync.Mutex
 	nextJob                int
 	unexpected             []string
+	rollAfter              int // number of starts of a controller that use the earlier version
 }
 
 // site holds the settings of a deployment.
@@ -199,7 +200,7 @@
 func newWorld(s site, seed int64) *world {
 	dir, err := os.MkdirTemp("", "world2-")
 	must(err)
-	w := &world{dir: dir, lease: secs(s.leaseS), report: secs(s.reportS), cancelS: secs(s.cancelS), rnd: rand.New(rand.NewSource(seed)), nextJob: 1}
+	w := &world{dir: dir, lease: secs(s.leaseS), report: secs(s.reportS), cancelS: secs(s.cancelS), rnd: rand.New(rand.NewSource(seed)), nextJob: 1, rollAfter: 1}
 	theWorld = w
 	w.logs = os.Getenv("WORLD_LOGS")
 	w.check = &checker{w: w, jobs: map[string]*jobInfo{}, on: map[string]map[*worker]time.Time{}, limit: map[string]float64{}}
@@ -244,6 +245,7 @@
 
 func (n *node) configure(s site) {
 	stateAddr, _ := serve(n.w.store.handler(n.name))
+	cloudAddr, _ := serve(n.w.cloud.handler(n.name))
 	peers := []any{}
 	for _, o := range n.w.nodes {
 		if o != n {
@@ -260,7 +262,7 @@
 		state["next"] = s.next
 	}
 	settings := map[string]any{"node_name": n.name, "site": n.zone, "listen": n.addr, "peer_listen": n.peerAddr, "peers": peers,
-		"endpoints": map[string]any{"cloud": n.w.cloud.addr, "state": stateAddr},
+		"endpoints": map[string]any{"cloud": cloudAddr, "state": stateAddr},
 		"params": map[string]any{"initial_size": 3, "zones": s.zones, "teams": teams, "objectives": s.objectives,
 			"workers": map[string]any{"report_s": s.reportS, "lease_s": s.leaseS, "gang_wait_s": 45.0, "gang_peer_s": 4.0, "cancel_s": s.cancelS},
 			"state":   state, "cloud": map[string]any{"rps": s.cloudRPS, "list_lag_s": s.lagS},
@@ -279,7 +281,11 @@
 		return // it runs already
 	}
 	n.runs++
-	cmd := exec.Command("target/tulipshelf", "--config", n.config)
+	program := "target/tulipshelf"
+	if earlier := os.Getenv("EARLIER"); earlier != "" && n.runs <= n.w.rollAfter {
+		program = earlier // an earlier version, for days of the hunt with an upgrade
+	}
+	cmd := exec.Command(program, "--config", n.config)
 	cmd.Env = append(os.Environ(), "LOG_LEVEL=info")
 	if n.w.logs != "" {
 		cmd.Env = append(os.Environ(), "LOG_LEVEL=debug")
